--- /dev/null
+++ b/cmd/hickoryhook/cgo.go
@@ -0,0 +1,5 @@
+package main
+
+// The C library is linked in, as the platform's loader needs it.
+
+import "C"
--- /dev/null
+++ b/internal/daemon/stdout.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// queuedLines bounds the log lines that wait for a slow reader; at 300
+	// bytes a line they take 600 KB.
+	queuedLines = 2048
+	// batchBytes is how much is written at once; a pipe takes 64 KiB.
+	batchBytes = 32 << 10
+	// flushEvery is how long a line may wait. It saves system calls.
+	flushEvery = 100 * time.Millisecond
+)
+
+// Lines writes log lines in the background. It never blocks its callers: lines
+// that find the queue full are counted and dropped.
+type Lines struct {
+	queue   chan []byte
+	dropped atomic.Int64
+	done    chan error
+}
+
+// NewLines starts writing to w until the context ends; then it writes what is
+// queued and reports on Done.
+func NewLines(ctx context.Context, w io.Writer) *Lines {
+	l := &Lines{queue: make(chan []byte, queuedLines), done: make(chan error, 1)}
+	go func() { l.done <- l.run(ctx, w) }()
+	return l
+}
+
+// Write queues one line.
+func (l *Lines) Write(b []byte) (int, error) {
+	select {
+	case l.queue <- append([]byte(nil), b...):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Sync does nothing: lines are written in the background.
+func (l *Lines) Sync() error { return nil }
+
+// Dropped returns how many lines found the queue full.
+func (l *Lines) Dropped() int64 { return l.dropped.Load() }
+
+// Done delivers the end of the writer.
+func (l *Lines) Done() <-chan error { return l.done }
+
+func (l *Lines) run(ctx context.Context, w io.Writer) error {
+	var batch []byte
+	for {
+		select {
+		case <-ctx.Done():
+			_, err := w.Write(l.drain(batch))
+			return err
+		case line := <-l.queue:
+			batch = append(batch, line...)
+		}
+		time.Sleep(flushEvery)
+		batch = l.drain(batch)
+		if _, err := w.Write(batch); err != nil {
+			return err
+		}
+		batch = batch[:0]
+	}
+}
+
+// drain appends what is queued, up to a batch.
+func (l *Lines) drain(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line := <-l.queue:
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// NewLineLogger returns a logger of JSON lines. Lines with the same message are
+// sampled like those of NewLogger.
+func NewLineLogger(lines *Lines) *zap.Logger {
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoding.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), lines, zapcore.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, logThereafter))
+}
+
+// Err is the field of an error without the stack that zap adds; nil adds none.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- /dev/null
+++ b/internal/fleet/agent.go
@@ -0,0 +1,316 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/relay"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+const (
+	// maxHeartbeat bounds the body of a heartbeat. Unit: bytes.
+	maxHeartbeat = 64 << 10
+	// overdue is how many heartbeat intervals without a heartbeat make the
+	// agent look whether its upstream still listens.
+	overdue = 1.4
+	// lookTimeout bounds that look, on the same instance.
+	lookTimeout = 200 * time.Millisecond
+	// assumedSlots stands in for an upstream's slots until its first heartbeat.
+	assumedSlots = 1
+	// farewellPause is how long an agent that stops keeps the order: its last
+	// packets and messages leave before its sockets close.
+	farewellPause = 20 * time.Millisecond
+	// lonelyAfter is how long an agent may hear no entry before it asks the
+	// store for them.
+	lonelyAfter = time.Second
+)
+
+// Agent is the process beside an upstream.
+type Agent struct {
+	*process
+	relay        *relay.Relay
+	upstream     *net.UDPConn
+	sequence     atomic.Uint64
+	lastBeat     atomic.Int64 // steady time of the last heartbeat
+	ended        atomic.Bool
+	reportedOnce atomic.Bool
+}
+
+// NewAgent opens the sockets of an agent.
+func NewAgent(s *platform.Settings, log *zap.Logger) (*Agent, error) {
+	if !s.ToUpstream.IsValid() || !s.FromUpstream.IsValid() || !s.Control.IsValid() || s.Service == "" {
+		return nil, errors.New("settings: an agent needs app, service, listen.outbound and listen.control")
+	}
+	p, err := newProcess(s, log)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := listen(s.FromUpstream)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{process: p, upstream: conn}
+	a.relay = relay.New(p.self, peer.Service(s.Service), p.codec, a, relay.WithLifetime(s.FlowLifetime))
+	return a, nil
+}
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	a.entries.add(a.now(), a.seeds()...)
+	tasks := []task{
+		{"peers", func(context.Context) error { return a.receive(a.peers, a.fromProcess) }},
+		{"upstream", func(context.Context) error { return a.receive(a.upstream, a.fromUpstream) }},
+		{"tick", every(tickEvery, func() { a.relay.Tick(a.now()) })},
+		{"report", every(reportEvery, a.report)},
+		{"look", every(a.settings.Heartbeat/4, a.look)},
+		{"find entries", a.findEntries},
+		a.serve(a.settings.Control, a.control()),
+		a.serve(a.settings.Ready, readyHandler(func() bool { return true })),
+	}
+	ends := runAll(work, tasks)
+	a.log.Info("agent started", zap.String("service", a.settings.Service))
+	a.firstLook()
+	a.report()
+	var failure error
+	running := len(tasks)
+	select {
+	case <-ctx.Done():
+	case failure = <-ends:
+		running--
+	}
+	a.stop()
+	cancel()
+	for range running {
+		failure = errors.Join(failure, <-ends)
+	}
+	a.log.Info("agent stopped", daemon.Err(failure))
+	return failure
+}
+
+func (a *Agent) stop() {
+	a.relay.Stop()
+	a.message(peer.Goodbye, peer.Farewell{Returns: !a.relay.Left()}, a.entries.known(a.now())...)
+	time.Sleep(farewellPause)
+	if err := errors.Join(a.peers.Close(), a.upstream.Close()); err != nil {
+		a.log.Warn("sockets not closed", daemon.Err(err))
+	}
+}
+
+func (a *Agent) seeds() []peer.Addr { return addrs(a.settings.Seeds) }
+
+func addrs(in []netip.Addr) []peer.Addr {
+	var out []peer.Addr
+	for _, s := range in {
+		out = append(out, peer.NewAddr(s))
+	}
+	return out
+}
+
+// ToUpstream implements relay.Port.
+func (a *Agent) ToUpstream(packet []byte) { a.write(a.upstream, a.settings.ToUpstream, packet) }
+
+// Decided implements relay.Port.
+func (a *Agent) Decided(event relay.Event, flow segment.Flow, f *peer.Frame) {
+	a.counts.add(string(event))
+	fields := []zap.Field{zap.Stringer("flow", flow)}
+	if f != nil {
+		fields = append(fields, zap.Stringer("entry", f.Entry), zap.Int("hop", f.Hop), zap.Int("candidates", len(f.Candidates)))
+	}
+	a.log.Info(string(event), fields...)
+}
+
+func (a *Agent) fromProcess(from netip.AddrPort, b []byte) error {
+	kind, err := peer.KindOf(b)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case peer.Place, peer.Deliver, peer.Search:
+		return a.relay.FromProcess(a.now(), b)
+	case peer.Hello:
+		return a.greeted(peer.NewAddr(from.Addr()), b)
+	case peer.Goodbye:
+		a.entries.remove(peer.NewAddr(from.Addr()))
+		return nil
+	default:
+		return peer.ErrFrame
+	}
+}
+
+func (a *Agent) greeted(from peer.Addr, b []byte) error {
+	var g peer.Greeting
+	if err := peer.DecodeMessage(b, &g); err != nil {
+		return err
+	}
+	isNew := a.entries.heard(a.now(), from, g)
+	fresh := a.entries.add(a.now(), g.Entries...)
+	if isNew {
+		a.log.Info("entry heard", zap.Stringer("entry", from))
+		fresh = append(fresh, from)
+	}
+	if len(fresh) > 0 {
+		a.message(peer.Report, a.status(), fresh...)
+	}
+	return nil
+}
+
+func (a *Agent) fromUpstream(_ netip.AddrPort, b []byte) error {
+	return a.relay.FromUpstream(a.now(), b)
+}
+
+func (a *Agent) status() peer.Status {
+	st := a.relay.Status(a.now())
+	st.Incarnation = a.started.UnixMilli()
+	st.Sequence = a.sequence.Add(1)
+	st.Service = a.settings.Service
+	st.Place = a.settings.Place
+	return st
+}
+
+// report tells the entries how the upstream does.
+func (a *Agent) report() {
+	a.message(peer.Report, a.status(), a.entries.known(a.now())...)
+}
+
+// control serves the upstream's heartbeats.
+func (a *Agent) control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.HeartbeatPattern, a.heartbeat)
+	mux.HandleFunc(platform.LeavePattern, a.leave)
+	return mux
+}
+
+func (a *Agent) heartbeat(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxHeartbeat))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h, err := platform.DecodeHeartbeat(req.PathValue("id"), body)
+	if err == nil && h.Service != a.settings.Service {
+		err = errors.Errorf("heartbeat of service %q", h.Service)
+	}
+	if err != nil {
+		a.counts.add("bad-heartbeats")
+		a.log.Warn("heartbeat not accepted", zap.String("upstream", req.PathValue("id")), daemon.Err(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	now := a.now()
+	a.lastBeat.Store(int64(now))
+	a.ended.Store(false)
+	changed := a.relay.Heartbeat(now, relay.Upstream{
+		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor,
+	})
+	if changed {
+		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
+			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor))
+		a.report()
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (a *Agent) leave(w http.ResponseWriter, req *http.Request) {
+	a.relay.Leave(a.now(), req.PathValue("id"))
+	a.log.Info("upstream leaves", zap.String("upstream", req.PathValue("id")))
+	a.report()
+	writeJSON(w, struct{}{})
+}
+
+// look checks whether an upstream that is late with its heartbeats still
+// listens: a refused connection proves that its process is gone.
+func (a *Agent) look() {
+	last := time.Duration(a.lastBeat.Load())
+	if last == 0 || a.ended.Load() || a.now()-last < time.Duration(overdue*float64(a.settings.Heartbeat)) {
+		return
+	}
+	if listens, known := a.listens(); known && !listens && a.relay.Ended() {
+		a.ended.Store(true)
+		a.log.Warn("upstream ended", zap.Duration("since-heartbeat", a.now()-last))
+		a.report()
+	}
+}
+
+// firstLook asks an upstream that was there before the agent whether it
+// serves, instead of waiting for its next heartbeat.
+func (a *Agent) firstLook() {
+	if listens, known := a.listens(); !known || !listens {
+		return
+	}
+	client := &http.Client{Timeout: lookTimeout}
+	resp, err := client.Get("http://" + a.settings.ToUpstream.String() + platform.HealthPath)
+	if err != nil {
+		a.log.Info("upstream not asked", daemon.Err(err))
+		return
+	}
+	if err := resp.Body.Close(); err != nil {
+		a.log.Info("upstream not asked", daemon.Err(err))
+	}
+	if resp.StatusCode == http.StatusOK && a.lastBeat.Load() == 0 {
+		a.relay.Assume(assumedSlots)
+	}
+	a.log.Info("upstream asked", zap.Int("status", resp.StatusCode))
+}
+
+// listens reports whether the upstream accepts connections, if that can be
+// known.
+func (a *Agent) listens() (listens, known bool) {
+	conn, err := net.DialTimeout("tcp4", a.settings.ToUpstream.String(), lookTimeout)
+	if err != nil {
+		return false, platform.IsRefused(err)
+	}
+	if err := conn.Close(); err != nil {
+		a.log.Info("connection not closed", daemon.Err(err))
+	}
+	return true, true
+}
+
+// findEntries asks the store for entries at the start and whenever none has
+// been heard for a while.
+func (a *Agent) findEntries(ctx context.Context) error {
+	return every(lonelyAfter, func() {
+		if len(a.entries.alive(a.now())) > 0 {
+			return
+		}
+		list, err := a.readRegistry(ctx)
+		if err != nil {
+			a.log.Warn("entries not read", daemon.Err(err))
+			return
+		}
+		if fresh := a.entries.add(a.now(), list...); len(fresh) > 0 {
+			a.message(peer.Report, a.status(), fresh...)
+		}
+	})(ctx)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		return // the caller has gone
+	}
+}
+
+func readyHandler(ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPattern, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/fleet/entry.go
@@ -0,0 +1,293 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/platform"
+)
+
+const (
+	// greetAgentEvery is how often an entry answers an agent's reports.
+	greetAgentEvery = 2 * time.Second
+	// leaveAfter is how long an entry that stops is not ready before it ends:
+	// the routers ask twice a second and let go after two misses, and packets
+	// still on their way take a few milliseconds.
+	leaveAfter = 1800 * time.Millisecond
+	// quietFor is the time without packets after which a stopping entry ends.
+	quietFor = 300 * time.Millisecond
+	// leaveMargin is kept of the grace time for the last messages.
+	leaveMargin = 700 * time.Millisecond
+	// agentsAtOnce bounds the agents that one answer to an entry lists; the
+	// datagram stays below 1,400 bytes.
+	agentsAtOnce = 200
+)
+
+// Entry is a balancer.
+type Entry struct {
+	*process
+	director *director.Director
+	callers  *net.UDPConn
+	config   *configSync
+	stopping atomic.Bool
+	lastPkt  atomic.Int64
+	greetMu  sync.Mutex
+	greetAt  map[peer.Addr]time.Duration
+	lastTick time.Duration
+}
+
+// NewEntry opens the sockets of an entry.
+func NewEntry(s *platform.Settings, log *zap.Logger) (*Entry, error) {
+	p, err := newProcess(s, log)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := listen(s.Packets)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{process: p, callers: conn, greetAt: make(map[peer.Addr]time.Duration)}
+	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime))
+	e.config = newConfigSync(p, e.director)
+	return e, nil
+}
+
+// Run serves until the context ends, waits until the routers have let go, and
+// ends.
+func (e *Entry) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	e.entries.add(e.now(), e.otherSeeds()...)
+	tasks := []task{
+		{"callers", func(context.Context) error { return e.receive(e.callers, e.fromCaller) }},
+		{"peers", func(context.Context) error { return e.receive(e.peers, e.fromProcess) }},
+		{"tick", every(tickEvery, e.tick)},
+		{"greet", every(reportEvery, e.greet)},
+		{"register", e.register},
+		{"find entries", e.findEntries},
+		{"watch configuration", e.config.watch},
+		{"verify configuration", e.config.verifyLoop},
+		e.serve(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler()),
+		e.serve(e.settings.Ready, readyHandler(e.ready)),
+	}
+	if e.settings.Control.IsValid() {
+		tasks = append(tasks, e.serve(e.settings.Control, readyHandler(e.ready)))
+	}
+	ends := runAll(work, tasks)
+	e.log.Info("entry started")
+	e.message(peer.Hello, e.greeting(true), e.entries.known(e.now())...)
+	var failure error
+	running := len(tasks)
+	select {
+	case <-ctx.Done():
+		e.leave()
+	case failure = <-ends:
+		running--
+	}
+	e.message(peer.Goodbye, peer.Farewell{}, append(e.entries.known(e.now()), e.director.Agents()...)...)
+	cancel()
+	failure = errors.Join(failure, e.callers.Close(), e.peers.Close())
+	for range running {
+		failure = errors.Join(failure, <-ends)
+	}
+	e.log.Info("entry stopped", daemon.Err(failure))
+	return failure
+}
+
+// leave serves on until no router sends packets any more.
+func (e *Entry) leave() {
+	e.stopping.Store(true)
+	begin := e.now()
+	e.log.Info("entry stops", zap.Int("flows", e.director.Flows()))
+	for {
+		time.Sleep(tickEvery)
+		spent := e.now() - begin
+		quiet := e.now() - time.Duration(e.lastPkt.Load())
+		if spent >= leaveAfter && quiet >= quietFor || spent >= e.settings.Grace-leaveMargin {
+			return
+		}
+	}
+}
+
+// ready reports whether the entry can serve callers.
+func (e *Entry) ready() bool {
+	return !e.stopping.Load() && e.director.Config() != nil && e.director.Reachable(e.now())
+}
+
+func (e *Entry) otherSeeds() []peer.Addr {
+	var out []peer.Addr
+	for _, a := range addrs(e.settings.Seeds) {
+		if a != e.self {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Decided implements director.Port.
+func (e *Entry) Decided(d director.Decision) {
+	e.counts.add(string(d.Event))
+	e.log.Info(string(d.Event), zap.Stringer("flow", d.Flow), zap.Stringer("agent", d.Agent), zap.Float64("load", d.Load),
+		zap.Duration("age", d.Age), zap.Uint64("config", d.Version), zap.Int("tried", d.Tried))
+}
+
+// Verify implements director.Port.
+func (e *Entry) Verify() { e.config.verifySoon() }
+
+func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) error {
+	now := e.now()
+	e.lastPkt.Store(int64(now))
+	return e.director.FromCaller(now, b)
+}
+
+func (e *Entry) fromProcess(from netip.AddrPort, b []byte) error {
+	kind, err := peer.KindOf(b)
+	if err != nil {
+		return err
+	}
+	sender := peer.NewAddr(from.Addr())
+	switch kind {
+	case peer.Report:
+		return e.reported(sender, b)
+	case peer.Hello:
+		return e.greeted(sender, b)
+	case peer.Goodbye:
+		return e.goodbye(sender, b)
+	default:
+		return e.director.FromProcess(e.now(), sender, b)
+	}
+}
+
+func (e *Entry) reported(from peer.Addr, b []byte) error {
+	var st peer.Status
+	if err := peer.DecodeMessage(b, &st); err != nil {
+		return err
+	}
+	now := e.now()
+	if e.director.Report(now, from, st) {
+		e.log.Info("agent heard", zap.Stringer("agent", from), zap.String("service", st.Service), zap.String("upstream", st.Upstream))
+	}
+	e.greetMu.Lock()
+	at, ok := e.greetAt[from]
+	due := !ok || now-at >= greetAgentEvery
+	if due {
+		e.greetAt[from] = now
+	}
+	e.greetMu.Unlock()
+	if due {
+		e.message(peer.Hello, e.greeting(false), from)
+	}
+	return nil
+}
+
+func (e *Entry) greeted(from peer.Addr, b []byte) error {
+	var g peer.Greeting
+	if err := peer.DecodeMessage(b, &g); err != nil {
+		return err
+	}
+	now := e.now()
+	if e.entries.heard(now, from, g) {
+		e.log.Info("entry heard", zap.Stringer("entry", from), zap.Uint64("config", g.ConfigVersion))
+	}
+	if fresh := e.entries.add(now, e.notSelf(g.Entries)...); len(fresh) > 0 {
+		e.message(peer.Hello, e.greeting(true), fresh...)
+	}
+	if len(g.Agents) > 0 {
+		e.message(peer.Hello, e.greeting(false), g.Agents...)
+	}
+	if g.Asks {
+		answer := e.greeting(false)
+		answer.Agents = e.director.Agents()
+		if len(answer.Agents) > agentsAtOnce {
+			answer.Agents = answer.Agents[:agentsAtOnce]
+		}
+		e.message(peer.Hello, answer, from)
+	}
+	e.config.peerHas(from, g.ConfigVersion)
+	return nil
+}
+
+func (e *Entry) notSelf(list []peer.Addr) []peer.Addr {
+	var out []peer.Addr
+	for _, a := range list {
+		if a != e.self {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (e *Entry) goodbye(from peer.Addr, b []byte) error {
+	var f peer.Farewell
+	if err := peer.DecodeMessage(b, &f); err != nil {
+		return err
+	}
+	e.entries.remove(from)
+	e.director.Goodbye(e.now(), from, f.Returns)
+	e.log.Info("process stops", zap.Stringer("process", from), zap.Bool("returns", f.Returns))
+	return nil
+}
+
+// greeting returns what the entry tells of itself.
+func (e *Entry) greeting(asks bool) peer.Greeting {
+	g := peer.Greeting{Incarnation: e.started.UnixMilli(), Entries: e.entries.alive(e.now()), Asks: asks}
+	if c := e.director.Config(); c != nil {
+		g.ConfigVersion = c.Version()
+	}
+	return g
+}
+
+func (e *Entry) greet() {
+	asks := e.director.Config() == nil || !e.director.Reachable(e.now())
+	e.message(peer.Hello, e.greeting(asks), e.entries.known(e.now())...)
+}
+
+func (e *Entry) tick() {
+	now := e.now()
+	since := now - e.lastTick
+	e.lastTick = now
+	e.director.Tick(now, since)
+}
+
+// findEntries reads the registered entries at the start, until some are
+// known, and then rarely.
+func (e *Entry) findEntries(ctx context.Context) error {
+	next := time.Duration(0)
+	step := func() {
+		now := e.now()
+		if now < next {
+			return
+		}
+		list, err := e.readRegistry(ctx)
+		if err != nil {
+			e.log.Warn("entries not read", daemon.Err(err))
+			next = now + time.Second
+			return
+		}
+		if fresh := e.entries.add(now, e.notSelf(list)...); len(fresh) > 0 {
+			e.message(peer.Hello, e.greeting(true), fresh...)
+		}
+		next = now + e.registryPause()
+	}
+	step()
+	return every(time.Second, step)(ctx)
+}
+
+// registryPause is how long the list of entries is good for: others announce
+// themselves, so that the list matters to a process that knows nobody.
+func (e *Entry) registryPause() time.Duration {
+	if len(e.entries.alive(e.now())) == 0 {
+		return time.Second
+	}
+	return registerFor
+}
--- /dev/null
+++ b/internal/verb/platform.go
@@ -0,0 +1,93 @@
+package verb
+
+import (
+	"context"
+	"os"
+
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/fleet"
+	"hickoryhook.example/platform"
+)
+
+const platformEntryUsage = `usage: hickoryhook platform entry
+
+Runs a balancer on an entry instance of the platform. The environment variable
+` + platform.SettingsVariable + ` names the settings file. SIGTERM stops it: it
+is no longer ready, serves until the routers have let go, and exits.
+`
+
+const platformAgentUsage = `usage: hickoryhook platform agent
+
+Runs the agent beside an upstream on the platform. The environment variable
+` + platform.SettingsVariable + ` names the settings file.
+`
+
+type (
+	// daemonProcess is a process of the platform.
+	daemonProcess interface {
+		Run(ctx context.Context) error
+		// Reload takes in changed settings.
+		Reload(s *platform.Settings)
+	}
+
+	platformRunner struct {
+		start func(*platform.Settings, *zap.Logger) (daemonProcess, error)
+	}
+)
+
+func platformVerb() command {
+	return group{
+		name:    "platform",
+		summary: "run a process on the platform",
+		subs: []command{
+			{name: "entry", summary: "a balancer on an entry instance", usage: platformEntryUsage,
+				parse: parsePlatform("platform entry", func(s *platform.Settings, log *zap.Logger) (daemonProcess, error) { return fleet.NewEntry(s, log) })},
+			{name: "agent", summary: "the agent beside an upstream", usage: platformAgentUsage,
+				parse: parsePlatform("platform agent", func(s *platform.Settings, log *zap.Logger) (daemonProcess, error) { return fleet.NewAgent(s, log) })},
+		},
+	}.command()
+}
+
+func parsePlatform(name string, start func(*platform.Settings, *zap.Logger) (daemonProcess, error)) func([]string, environment) (runner, error) {
+	return func(args []string, _ environment) (runner, error) {
+		if err := parseFlags(newFlags(name), args, 0); err != nil {
+			return nil, err
+		}
+		return &platformRunner{start: start}, nil
+	}
+}
+
+func (r *platformRunner) run(ctx context.Context) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	logged, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	lines := daemon.NewLines(logged, os.Stdout)
+	defer func() {
+		cancel()
+		<-lines.Done()
+	}()
+	log := daemon.NewLineLogger(lines).With(zap.String("node", s.Node))
+	p, err := r.start(s, log)
+	if err != nil {
+		return err
+	}
+	reloads := make(chan struct{})
+	go func() {
+		defer close(reloads)
+		untilStopped(ctx, log, func() error {
+			next, err := platform.ReadSettings()
+			if err != nil {
+				return err
+			}
+			p.Reload(next)
+			return nil
+		})
+	}()
+	err = p.Run(ctx)
+	<-reloads
+	return err
+}
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -62,6 +62,7 @@
 	return []command{
 		entryVerb(),
 		agentVerb(),
+		platformVerb(),
 		demoVerb(),
 		benchVerb(),
 		standInVerb(),
--- /dev/null
+++ b/pkg/director/answers.go
@@ -0,0 +1,201 @@
+package director
+
+import (
+	"time"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
+)
+
+// allStage marks the frames of a search that asks all agents at once. Their
+// return means nothing: the owner's answer counts.
+const allStage = 255
+
+// FromProcess handles a datagram of an agent.
+func (d *Director) FromProcess(now time.Duration, from peer.Addr, datagram []byte) error {
+	kind, err := peer.KindOf(datagram)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case peer.Owned:
+		var o peer.Owner
+		if err := o.Decode(datagram); err != nil {
+			return err
+		}
+		d.owned(now, from, o)
+	case peer.Returned:
+		var f peer.Frame
+		if err := f.Decode(datagram); err != nil {
+			return err
+		}
+		h, err := d.codec.FromCaller(f.Packet)
+		if err != nil {
+			return err
+		}
+		d.returned(now, from, &f, h)
+	default:
+		return peer.ErrFrame
+	}
+	return nil
+}
+
+// owned takes in that an agent's upstream holds a flow.
+func (d *Director) owned(now time.Duration, from peer.Addr, o peer.Owner) {
+	s := d.lock(o.Flow)
+	defer s.mu.Unlock()
+	rec := s.flows[o.Flow]
+	if rec == nil {
+		rec = &record{created: now}
+		s.flows[o.Flow] = rec
+	}
+	if rec.searching {
+		d.port.Decided(Decision{Event: Found, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
+	}
+	rec.owner, rec.start, rec.open, rec.searching = from, o.Start, true, false
+	rec.service = d.members.service(from)
+	rec.seen = now
+}
+
+// returned handles a packet that nobody on a list took.
+func (d *Director) returned(now time.Duration, from peer.Addr, f *peer.Frame, h segment.Head) {
+	s := d.lock(h.Flow)
+	defer s.mu.Unlock()
+	if f.Stage == allStage {
+		return
+	}
+	switch f.For {
+	case peer.Place:
+		d.untaken(now, s, f, h)
+	case peer.Deliver:
+		d.disowned(now, s, from, f, h)
+	case peer.Search:
+		d.unfound(now, s, f, h)
+	}
+}
+
+// untaken handles an opening that no agent of its list took.
+func (d *Director) untaken(now time.Duration, s *shard, f *peer.Frame, h segment.Head) {
+	if f.Stage == 0 {
+		if list := d.members.others(now, f.Service, f.Candidates); len(list) > 0 {
+			s.flows[h.Flow] = &record{owner: list[0], service: f.Service, seen: now, created: now}
+			d.port.Decided(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: list[0], Tried: len(f.Candidates)})
+			d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: f.Service, Candidates: list, Stage: 1, Packet: f.Packet})
+			return
+		}
+	}
+	delete(s.flows, h.Flow)
+	d.reset(NoTaker, h, len(f.Candidates))
+}
+
+// disowned handles a packet whose flow the supposed owner does not hold.
+func (d *Director) disowned(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Head) {
+	rec := s.flows[h.Flow]
+	if rec == nil {
+		rec = &record{created: now}
+		s.flows[h.Flow] = rec
+	}
+	if !rec.searching && rec.owner != from {
+		d.deliver(s, rec, f.Packet) // the owner has been found meanwhile
+		return
+	}
+	if h.Opens() {
+		if r, ok := d.config.Load().Lookup(h.Flow.VIP()); ok {
+			d.place(now, s, h, r, f.Packet)
+		}
+		return
+	}
+	d.search(now, s, rec, h, f.Packet)
+}
+
+// unfound handles a packet of a search whose list has come to its end.
+func (d *Director) unfound(now time.Duration, s *shard, f *peer.Frame, h segment.Head) {
+	f.Entry = d.self
+	if d.next(s, h, f, f.Stage+1) {
+		return
+	}
+	rec := s.flows[h.Flow]
+	if rec != nil && !rec.searching {
+		d.deliver(s, rec, f.Packet)
+		return
+	}
+	if f.Uncertain || !d.members.settled(now) {
+		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
+		return
+	}
+	delete(s.flows, h.Flow)
+	if !h.Has(segment.Reset) {
+		d.reset(FoundNobody, h, 0)
+	}
+}
+
+// Report takes in what an agent tells of itself. It reports whether the agent
+// is new.
+func (d *Director) Report(now time.Duration, from peer.Addr, status peer.Status) bool {
+	isNew, ended := d.members.report(now, from, status)
+	if ended {
+		d.resetOwned(from, peer.StartOf(status.Upstream, status.Born))
+	}
+	return isNew
+}
+
+// Goodbye takes in that an agent stops.
+func (d *Director) Goodbye(now time.Duration, from peer.Addr, returns bool) {
+	d.members.goodbye(now, from, returns)
+}
+
+// resetOwned tells the callers of flows at an earlier start of an upstream.
+func (d *Director) resetOwned(owner peer.Addr, start uint32) {
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		for flow, rec := range s.flows {
+			if rec.owner != owner || rec.start == 0 || rec.start == start {
+				continue
+			}
+			d.reset(UpstreamGone, segment.Head{Flow: flow, Acknowledged: rec.acknowledged}, 0)
+			delete(s.flows, flow)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Tick forgets flows and members that have been silent for long. The caller
+// passes the time since the last tick, so that a pause of this process is not
+// taken for the silence of others.
+func (d *Director) Tick(now, since time.Duration) {
+	d.members.tick(now, since)
+	idle := defaultIdle
+	if c := d.config.Load(); c != nil && c.IdleTimeout() > 0 {
+		idle = c.IdleTimeout()
+	}
+	idle = min(idle+idleSlack, d.lifetime)
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		for flow, rec := range s.flows {
+			if now-rec.seen > idle {
+				delete(s.flows, flow)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Flows returns how many flows the director remembers.
+func (d *Director) Flows() int {
+	n := 0
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		n += len(s.flows)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Agents returns the agents that are believed alive.
+func (d *Director) Agents() []peer.Addr { return d.members.list() }
+
+// Reachable reports whether enough agents are heard to serve.
+func (d *Director) Reachable(now time.Duration) bool { return d.members.settled(now) }
--- /dev/null
+++ b/pkg/director/director.go
@@ -0,0 +1,356 @@
+// Package director decides, in an entry, where each packet of a caller goes.
+//
+// A director remembers the owner of each flow that passes it. It holds nothing
+// that matters: a packet of a flow it does not know visits the agents in the
+// flow's rendezvous order until the owner takes it.
+//
+// # Usage
+//
+//	d := director.New(self, codec, port)
+//	d.SetConfig(now, config)
+//	d.Report(now, agent, status)       // what agents tell
+//	d.FromCaller(now, packet)          // what callers send
+//	d.FromProcess(now, agent, datagram) // what agents send back
+//	d.Tick(now)
+//
+// A Director has no clock and no sockets; its methods are safe for concurrent
+// use.
+package director
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
+	"hickoryhook.example/pkg/segment"
+)
+
+const (
+	shardCount = 16
+	// searchPatience is how long a search may take before a retransmitted
+	// packet of the flow starts another, that asks all agents at once. The
+	// walk past 32 agents takes 20 ms at 0.6 ms a hop.
+	searchPatience = 100 * time.Millisecond
+	// verifiedFor is how long after a check with the store the configuration
+	// counts as current, so that an unknown address may be refused. Below the
+	// shortest time in which a change must be in force.
+	verifiedFor = time.Second
+	// defaultIdle and defaultLifetime apply until the configuration and the
+	// settings say otherwise.
+	defaultIdle     = 15 * time.Second
+	defaultLifetime = time.Minute
+	// idleSlack covers packets on their way when a flow is forgotten.
+	idleSlack = 2 * time.Second
+)
+
+// The decisions of a director.
+const (
+	Placed       Event = "placed"
+	PlacedAgain  Event = "placed-again"
+	NoTaker      Event = "no-taker"
+	NoRoute      Event = "no-route"
+	RouteDropped Event = "route-dropped"
+	Searched     Event = "searched"
+	SearchedAll  Event = "searched-all"
+	FoundNobody  Event = "found-nobody"
+	FoundUnsure  Event = "found-nobody-uncertain"
+	Found        Event = "found"
+	UpstreamGone Event = "upstream-gone"
+	Malformed    Event = "malformed"
+)
+
+type (
+	// Port is where a director's packets leave.
+	Port interface {
+		// ToProcess sends a datagram to another process.
+		ToProcess(to peer.Addr, datagram []byte)
+		// ToCaller sends a packet to a caller.
+		ToCaller(flow segment.Flow, packet []byte)
+		// Verify asks for a check that the configuration is the newest.
+		Verify()
+		// Decided tells of a decision, for the log.
+		Decided(d Decision)
+	}
+
+	// Event names a decision.
+	Event string
+
+	// Decision is one decision and what it rested on.
+	Decision struct {
+		Event Event
+		Flow  segment.Flow
+		// Agent is the agent that was chosen or that answered.
+		Agent peer.Addr
+		// Load is the chosen agent's load and Age the age of the report.
+		Load float64
+		Age  time.Duration
+		// Version is the version of the configuration.
+		Version uint64
+		// Tried is how many agents were asked.
+		Tried int
+	}
+
+	// Director holds the state of one entry.
+	Director struct {
+		self     peer.Addr
+		codec    segment.Codec
+		port     Port
+		lifetime time.Duration
+		config   atomic.Pointer[route.Config]
+		verified atomic.Int64 // time of the last check with the store
+		members  *members
+		history  history
+		shards   [shardCount]shard
+	}
+
+	shard struct {
+		mu    sync.Mutex
+		flows map[segment.Flow]*record
+		frame []byte
+	}
+
+	// record is what the director remembers of a flow.
+	record struct {
+		owner        peer.Addr
+		service      peer.ServiceID
+		start        uint32 // of the owner's upstream, 0 if not heard
+		open         bool   // the owner has said that its upstream holds it
+		searching    bool
+		searchedAt   time.Duration
+		acknowledged uint32
+		seen         time.Duration
+		created      time.Duration
+	}
+
+	// Option changes what New returns.
+	Option func(*Director)
+)
+
+// WithLifetime sets the age at which a flow is forgotten.
+func WithLifetime(d time.Duration) Option { return func(x *Director) { x.lifetime = d } }
+
+// New returns a director without configuration and members.
+func New(self peer.Addr, codec segment.Codec, port Port, options ...Option) *Director {
+	d := &Director{self: self, codec: codec, port: port, lifetime: defaultLifetime, members: newMembers()}
+	for i := range d.shards {
+		d.shards[i].flows = make(map[segment.Flow]*record)
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// SetConfig puts a configuration in force, unless a newer one is. It reports
+// whether it did.
+func (d *Director) SetConfig(c *route.Config) bool {
+	for {
+		old := d.config.Load()
+		if old != nil && old.Version() >= c.Version() {
+			return false
+		}
+		if d.config.CompareAndSwap(old, c) {
+			d.history.add(c)
+			return true
+		}
+	}
+}
+
+// Verified takes in that the configuration was the newest at a time.
+func (d *Director) Verified(at time.Duration) { d.verified.Store(int64(at)) }
+
+// Config returns the configuration in force, nil before the first.
+func (d *Director) Config() *route.Config { return d.config.Load() }
+
+// FromCaller handles a packet of a caller.
+func (d *Director) FromCaller(now time.Duration, packet []byte) error {
+	h, err := d.codec.FromCaller(packet)
+	if err != nil {
+		return err
+	}
+	if h.Has(segment.Bounced) {
+		return segment.ErrBounced
+	}
+	config := d.config.Load()
+	if config == nil {
+		return nil // the caller sends its packet again
+	}
+	s := d.lock(h.Flow)
+	defer s.mu.Unlock()
+	r, ok := config.Lookup(h.Flow.VIP())
+	switch {
+	case !ok:
+		d.unrouted(now, s, h)
+	case h.Opens():
+		d.opening(now, s, h, r, packet)
+	default:
+		d.established(now, s, h, packet)
+	}
+	return nil
+}
+
+// unrouted handles a packet to an address that has no route.
+func (d *Director) unrouted(now time.Duration, s *shard, h segment.Head) {
+	if !d.current(now) {
+		d.port.Verify() // the caller's next copy finds the answer
+		return
+	}
+	rec := s.flows[h.Flow]
+	delete(s.flows, h.Flow)
+	if h.Has(segment.Reset) {
+		return
+	}
+	event := NoRoute
+	if rec != nil {
+		event = RouteDropped
+	}
+	d.reset(event, h, 0)
+}
+
+// current reports whether the configuration was checked a moment ago.
+func (d *Director) current(now time.Duration) bool {
+	at := time.Duration(d.verified.Load())
+	return at != 0 && now-at <= verifiedFor
+}
+
+// opening handles a packet that asks for a new flow.
+func (d *Director) opening(now time.Duration, s *shard, h segment.Head, r route.Route, packet []byte) {
+	if rec := s.flows[h.Flow]; rec != nil && d.members.usable(now, rec.owner) {
+		rec.seen = now
+		d.deliver(s, rec, packet)
+		return
+	}
+	d.place(now, s, h, r, packet)
+}
+
+// place offers a new flow to the agents of a service.
+func (d *Director) place(now time.Duration, s *shard, h segment.Head, r route.Route, packet []byte) {
+	name, ok := r.Pick(h.Flow.Hash())
+	service := peer.Service(name)
+	if !ok {
+		d.reset(NoTaker, h, 0)
+		return
+	}
+	list, load, age := d.members.forOpening(now, service, h.Flow.Hash())
+	if len(list) == 0 {
+		d.refuse(now, h)
+		return
+	}
+	s.flows[h.Flow] = &record{owner: list[0], service: service, seen: now, created: now}
+	d.port.Decided(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
+	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Packet: packet})
+}
+
+// refuse resets an opening that no upstream can take, if that is certain.
+func (d *Director) refuse(now time.Duration, h segment.Head) {
+	if !d.members.settled(now) {
+		return // agents may not have been heard yet
+	}
+	d.reset(NoTaker, h, 0)
+}
+
+// established handles a packet of a flow that is open, or was.
+func (d *Director) established(now time.Duration, s *shard, h segment.Head, packet []byte) {
+	rec := s.flows[h.Flow]
+	if rec == nil {
+		rec = &record{created: now}
+		s.flows[h.Flow] = rec
+		d.search(now, s, rec, h, packet)
+		return
+	}
+	rec.seen = now
+	if h.Has(segment.Ack) {
+		rec.acknowledged = h.Acknowledged
+	}
+	if !rec.searching {
+		d.deliver(s, rec, packet)
+		return
+	}
+	if now-rec.searchedAt < searchPatience {
+		d.walk(s, h, packet)
+		return
+	}
+	d.searchAll(now, s, rec, h, packet)
+}
+
+// deliver sends a packet to the owner of its flow.
+func (d *Director) deliver(s *shard, rec *record, packet []byte) {
+	list := [1]peer.Addr{rec.owner}
+	d.send(s, rec.owner, &peer.Frame{Kind: peer.Deliver, Entry: d.self, Service: rec.service, Candidates: list[:], Packet: packet})
+}
+
+// search starts a walk past the agents that may own the flow.
+func (d *Director) search(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
+	rec.seen, rec.searching, rec.searchedAt = now, true, now
+	rec.owner, rec.start, rec.open = peer.Addr{}, 0, false
+	if h.Has(segment.Ack) {
+		rec.acknowledged = h.Acknowledged
+	}
+	d.port.Decided(Decision{Event: Searched, Flow: h.Flow})
+	d.walk(s, h, packet)
+}
+
+func (d *Director) walk(s *shard, h segment.Head, packet []byte) {
+	f := &peer.Frame{Kind: peer.Search, Entry: d.self, Packet: packet}
+	if !d.next(s, h, f, 0) {
+		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
+	}
+}
+
+// next sends a search on to the list of the stage, or of the first later stage
+// that has one. It reports false if there is none.
+func (d *Director) next(s *shard, h segment.Head, f *peer.Frame, stage int) bool {
+	for ; ; stage++ {
+		service, list, ok := d.members.forSearch(d.history.services(h.Flow.VIP()), h.Flow.Hash(), stage)
+		if !ok {
+			return false
+		}
+		if len(list) == 0 {
+			continue
+		}
+		f.Kind, f.Service, f.Candidates, f.Stage, f.Hop = peer.Search, service, list, stage, 0
+		d.send(s, list[0], f)
+		return true
+	}
+}
+
+// searchAll asks every agent at once, after a walk that has ended nowhere.
+func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
+	rec.searchedAt = now
+	tried := 0
+	for stage := 0; ; stage++ {
+		service, list, ok := d.members.forSearch(d.history.services(h.Flow.VIP()), h.Flow.Hash(), stage)
+		if !ok {
+			break
+		}
+		for _, a := range list {
+			one := [1]peer.Addr{a}
+			d.send(s, a, &peer.Frame{Kind: peer.Search, Entry: d.self, Service: service, Candidates: one[:], Stage: allStage, Packet: packet})
+			tried++
+		}
+	}
+	d.port.Decided(Decision{Event: SearchedAll, Flow: h.Flow, Tried: tried})
+}
+
+// reset tells a caller that its flow is gone or refused.
+func (d *Director) reset(event Event, h segment.Head, tried int) {
+	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
+	version := uint64(0)
+	if c := d.config.Load(); c != nil {
+		version = c.Version()
+	}
+	d.port.Decided(Decision{Event: event, Flow: h.Flow, Version: version, Tried: tried})
+}
+
+func (d *Director) send(s *shard, to peer.Addr, f *peer.Frame) {
+	s.frame = f.Append(s.frame[:0])
+	d.port.ToProcess(to, s.frame)
+}
+
+func (d *Director) lock(f segment.Flow) *shard {
+	s := &d.shards[f.Hash()%shardCount]
+	s.mu.Lock()
+	return s
+}
--- /dev/null
+++ b/pkg/director/members.go
@@ -0,0 +1,287 @@
+package director
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/rendezvous"
+)
+
+const (
+	// suspectAfter is the silence after which an agent gets no new flows:
+	// three of its reports.
+	suspectAfter = 1300 * time.Millisecond
+	// forgetAfter is the silence after which an agent is taken as gone. A
+	// restart of the agent alone is over well before.
+	forgetAfter = 10 * time.Second
+	// pauseAfter is a gap between ticks that shows that this process stood
+	// still. The shell ticks more often by a factor of two.
+	pauseAfter = time.Second
+	// openingChoices is how many agents a new flow is compared over, the
+	// first in its rendezvous order.
+	openingChoices = 5
+	// coldPenalty is how much slower a cold upstream is.
+	coldPenalty = 1.6
+	// runningWeight is how many open flows one running request counts as.
+	runningWeight = 4
+)
+
+type (
+	// members holds what is known of the agents.
+	members struct {
+		mu        sync.RWMutex
+		agents    map[peer.Addr]*agent
+		byService map[peer.ServiceID][]*agent
+		pausedAt  time.Duration // when this process last stood still
+		firstAt   time.Duration // when the first agent was heard
+		newest    time.Duration // when an agent was last new
+	}
+
+	agent struct {
+		address peer.Addr
+		service peer.ServiceID
+		status  peer.Status
+		heard   time.Duration
+		pending int // flows sent since the last report
+		gone    bool
+		leaving bool
+	}
+)
+
+func newMembers() *members {
+	return &members{agents: make(map[peer.Addr]*agent), byService: make(map[peer.ServiceID][]*agent)}
+}
+
+// report takes in an agent's report. ended says that the agent's upstream has
+// started anew.
+func (m *members) report(now time.Duration, from peer.Addr, status peer.Status) (isNew, ended bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a, ok := m.agents[from]
+	if !ok {
+		a = &agent{address: from}
+		m.agents[from] = a
+		m.newest = now
+		if m.firstAt == 0 {
+			m.firstAt = now
+		}
+	}
+	old := a.status
+	if ok && (status.Incarnation < old.Incarnation || status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence) {
+		return false, false
+	}
+	ended = ok && old.Upstream != "" && status.Upstream != "" && (old.Upstream != status.Upstream || old.Born != status.Born)
+	if status.Upstream == "" && old.Service == status.Service {
+		status.Upstream, status.Born = old.Upstream, old.Born
+	}
+	a.status, a.heard, a.pending, a.gone, a.leaving = status, now, 0, false, false
+	service := peer.Service(status.Service)
+	if a.service != service {
+		a.service = service
+		m.rebuild()
+	}
+	return !ok, ended
+}
+
+func (m *members) goodbye(now time.Duration, from peer.Addr, returns bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a, ok := m.agents[from]
+	if !ok {
+		return
+	}
+	a.leaving = true
+	if !returns {
+		a.gone = true
+		delete(m.agents, from)
+		m.rebuild()
+	}
+}
+
+func (m *members) rebuild() {
+	clear(m.byService)
+	for _, a := range m.agents {
+		m.byService[a.service] = append(m.byService[a.service], a)
+	}
+	for _, list := range m.byService {
+		slices.SortFunc(list, func(a, b *agent) int { return slices.Compare(a.address[:], b.address[:]) })
+	}
+}
+
+// tick forgets agents that have been silent for long.
+func (m *members) tick(now, since time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if since > pauseAfter {
+		m.pausedAt = now
+		for _, a := range m.agents {
+			a.heard = now
+		}
+		return
+	}
+	n := len(m.agents)
+	for address, a := range m.agents {
+		if now-a.heard > forgetAfter {
+			delete(m.agents, address)
+		}
+	}
+	if len(m.agents) != n {
+		m.rebuild()
+	}
+}
+
+// usable reports whether an agent is heard.
+func (m *members) usable(now time.Duration, address peer.Addr) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	a, ok := m.agents[address]
+	return ok && !a.leaving && now-a.heard <= suspectAfter
+}
+
+// settled reports whether what is known of the agents is complete enough to
+// say that none of them holds a flow: some are known, none appeared a moment
+// ago, and all are heard.
+func (m *members) settled(now time.Duration) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.agents) == 0 || now-m.newest < suspectAfter/2 || now-m.pausedAt < suspectAfter {
+		return false
+	}
+	for _, a := range m.agents {
+		if now-a.heard > suspectAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// heard returns how many agents are known and how many of them are heard.
+func (m *members) heard(now time.Duration) (known, heard int) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, a := range m.agents {
+		if now-a.heard <= suspectAfter {
+			heard++
+		}
+	}
+	return len(m.agents), heard
+}
+
+func (m *members) service(address peer.Addr) peer.ServiceID {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if a, ok := m.agents[address]; ok {
+		return a.service
+	}
+	return 0
+}
+
+func (m *members) list() []peer.Addr {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]peer.Addr, 0, len(m.agents))
+	for address := range m.agents {
+		out = append(out, address)
+	}
+	slices.SortFunc(out, func(a, b peer.Addr) int { return slices.Compare(a[:], b[:]) })
+	return out
+}
+
+// forOpening returns the agents to offer a new flow to, best first, and the
+// load and the age of the report of the first.
+func (m *members) forOpening(now time.Duration, service peer.ServiceID, hash uint64) ([]peer.Addr, float64, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var able []*agent
+	for _, a := range m.byService[service] {
+		if a.status.Taking && !a.leaving && now-a.heard <= suspectAfter {
+			able = append(able, a)
+		}
+	}
+	if len(able) == 0 {
+		return nil, 0, 0
+	}
+	byHash(able, hash)
+	choices := able[:min(openingChoices, len(able))]
+	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(a.load(now), b.load(now)) })
+	first := choices[0]
+	load, age := first.load(now), now-first.heard
+	first.pending++
+	return addresses(able), load, age
+}
+
+// others returns the agents of a service that are not on a list and might take
+// a new flow all the same.
+func (m *members) others(now time.Duration, service peer.ServiceID, tried []peer.Addr) []peer.Addr {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []peer.Addr
+	for _, a := range m.byService[service] {
+		if !slices.Contains(tried, a.address) && !a.leaving && now-a.heard <= suspectAfter && len(out) < peer.MaxCandidates {
+			out = append(out, a.address)
+		}
+	}
+	return out
+}
+
+// forSearch returns the list of one stage of a search: the agents of each
+// service that may hold the flow, then all others, which answer from what
+// they remember and do not touch their upstream. It reports false after the
+// last stage.
+func (m *members) forSearch(services []peer.ServiceID, hash uint64, stage int) (peer.ServiceID, []peer.Addr, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, service := range services {
+		list := slices.Clone(m.byService[service])
+		if pages := (len(list) + peer.MaxCandidates - 1) / peer.MaxCandidates; stage >= pages {
+			stage -= pages
+			continue
+		}
+		byHash(list, hash)
+		return service, page(list, stage), true
+	}
+	var rest []*agent
+	for service, list := range m.byService {
+		if !slices.Contains(services, service) {
+			rest = append(rest, list...)
+		}
+	}
+	if stage*peer.MaxCandidates >= len(rest) {
+		return 0, nil, false
+	}
+	byHash(rest, hash)
+	return 0, page(rest, stage), true
+}
+
+func page(list []*agent, n int) []peer.Addr {
+	from := n * peer.MaxCandidates
+	return addresses(list[from:min(len(list), from+peer.MaxCandidates)])
+}
+
+func addresses(list []*agent) []peer.Addr {
+	n := min(len(list), peer.MaxCandidates)
+	out := make([]peer.Addr, n)
+	for i := range out {
+		out[i] = list[i].address
+	}
+	return out
+}
+
+// byHash sorts agents into the rendezvous order of a flow.
+func byHash(list []*agent, hash uint64) {
+	slices.SortFunc(list, func(a, b *agent) int {
+		return cmp.Compare(rendezvous.Hash(hash, b.address.ID()), rendezvous.Hash(hash, a.address.ID()))
+	})
+}
+
+// load returns the agent's work for each slot of its upstream.
+func (a *agent) load(now time.Duration) float64 {
+	work := float64(a.status.Flows+a.pending) + runningWeight*float64(a.status.Running)
+	if a.status.Cold() > now-a.heard {
+		work = (work + 1) * coldPenalty
+	}
+	return work / float64(max(1, a.status.Slots))
+}
--- /dev/null
+++ b/pkg/peer/frame.go
@@ -0,0 +1,197 @@
+// Package peer is the protocol between entries and agents, over UDP.
+//
+// Frames carry packets of flows from an entry to an agent, from agent to agent
+// along a list that the entry has written, and back to the entry if no agent on
+// the list takes the packet. Messages carry what processes tell of themselves.
+//
+// # Usage
+//
+//	f := peer.Frame{Kind: peer.Search, Entry: self, Service: id, Candidates: agents, Packet: packet}
+//	datagram := f.Append(nil)
+//	err := f.Decode(datagram)
+package peer
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"hickoryhook.example/pkg/segment"
+)
+
+const (
+	// Place asks the agents of a service to take a new flow.
+	Place Kind = iota + 1
+	// Deliver carries a packet to the flow's owner, as the entry knows it.
+	Deliver
+	// Search carries a packet of an open flow past agents that may own it.
+	Search
+	// Returned carries a packet back to the entry: nobody on the list took it.
+	Returned
+	// Owned tells an entry who owns a flow. It carries no packet.
+	Owned
+	// Report, Hello and Goodbye are messages.
+	Report
+	// Hello is what an entry tells of itself.
+	Hello
+	// Goodbye says that a process is about to stop.
+	Goodbye
+	kindEnd
+)
+
+const (
+	// MaxCandidates is the longest list of a frame.
+	MaxCandidates = 32
+	// MaxFrame bounds a frame: its head, the list and the largest packet.
+	MaxFrame = headBytes + 4*MaxCandidates + 1500
+
+	magic     = 0x68
+	headBytes = 16
+
+	flagUncertain = 1
+)
+
+// ErrFrame reports a datagram that is not a frame.
+var ErrFrame = errors.New("not a frame")
+
+type (
+	// Kind says what a frame is for.
+	Kind uint8
+
+	// ServiceID is a hash of a service's name. 0 names none.
+	ServiceID uint32
+
+	// Addr is the IPv4 address of a process. All use the same port.
+	Addr [4]byte
+
+	// Frame is a packet of a flow on its way between processes.
+	Frame struct {
+		Kind Kind
+		// For is what a Returned frame was before: Place, Deliver or Search.
+		For Kind
+		// Uncertain says that an agent passed the packet on without knowing
+		// whether its upstream holds the flow.
+		Uncertain bool
+		// Entry is the process that the caller's packet reached.
+		Entry Addr
+		// Service is the service that may receive the packet; 0 allows the
+		// owner of the flow only.
+		Service ServiceID
+		// Stage counts the lists that the entry has tried for this packet.
+		Stage int
+		// Hop is the index in Candidates of the agent that has the frame.
+		Hop int
+		// Candidates are the agents that the packet may visit, in order.
+		Candidates []Addr
+		// Packet is the caller's packet. Decode does not copy it.
+		Packet []byte
+	}
+)
+
+// Service returns the identifier of a service's name.
+func Service(name string) ServiceID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return ServiceID(max(1, h.Sum32()))
+}
+
+// NewAddr returns the address of a process.
+func NewAddr(a netip.Addr) Addr { return a.Unmap().As4() }
+
+// Addr returns the address as the network packages have it.
+func (a Addr) Addr() netip.Addr { return netip.AddrFrom4(a) }
+
+// String returns the address in dotted form.
+func (a Addr) String() string { return a.Addr().String() }
+
+// ID returns the address as a number, for hashing.
+func (a Addr) ID() uint64 { return uint64(binary.BigEndian.Uint32(a[:])) }
+
+// KindOf returns the kind of a datagram.
+func KindOf(b []byte) (Kind, error) {
+	if len(b) < 2 || b[0] != magic || b[1] == 0 || Kind(b[1]) >= kindEnd {
+		return 0, ErrFrame
+	}
+	return Kind(b[1]), nil
+}
+
+// Append appends the encoded frame to b.
+//
+// Layout: magic, kind, for, flags, entry (4), service (4), hop, count, stage,
+// a zero, count addresses (4 each), packet.
+func (f *Frame) Append(b []byte) []byte {
+	var flags byte
+	if f.Uncertain {
+		flags |= flagUncertain
+	}
+	b = append(b, magic, byte(f.Kind), byte(f.For), flags)
+	b = append(b, f.Entry[:]...)
+	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), 0)
+	for _, c := range f.Candidates {
+		b = append(b, c[:]...)
+	}
+	return append(b, f.Packet...)
+}
+
+// Decode decodes a frame. It reuses f.Candidates; Packet points into b.
+func (f *Frame) Decode(b []byte) error {
+	if len(b) < headBytes || b[0] != magic {
+		return ErrFrame
+	}
+	f.Kind, f.For = Kind(b[1]), Kind(b[2])
+	f.Uncertain = b[3]&flagUncertain != 0
+	copy(f.Entry[:], b[4:])
+	f.Service = ServiceID(binary.BigEndian.Uint32(b[8:]))
+	f.Hop = int(b[12])
+	count := int(b[13])
+	f.Stage = int(b[14])
+	if count > MaxCandidates || f.Hop > count || len(b) < headBytes+4*count {
+		return ErrFrame
+	}
+	b = b[headBytes:]
+	f.Candidates = f.Candidates[:0]
+	for range count {
+		f.Candidates = append(f.Candidates, Addr(b))
+		b = b[4:]
+	}
+	f.Packet = b
+	return nil
+}
+
+// Owner is what an agent tells an entry about a flow that its upstream holds.
+type Owner struct {
+	Flow segment.Flow
+	// Start identifies the start of the upstream, see StartOf; 0 if the agent
+	// does not know it yet.
+	Start uint32
+}
+
+// StartOf returns a hash that differs between two starts of an upstream. It is
+// never 0.
+func StartOf(id string, born int64) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(born)))
+	return max(1, h.Sum32())
+}
+
+// Append appends the encoded datagram to b.
+func (o Owner) Append(b []byte) []byte {
+	b = append(b, magic, byte(Owned), 0, 0)
+	b = binary.BigEndian.AppendUint32(b, o.Start)
+	return o.Flow.Append(b)
+}
+
+// Decode decodes an Owned datagram.
+func (o *Owner) Decode(b []byte) error {
+	if len(b) < 8 || b[0] != magic || Kind(b[1]) != Owned {
+		return ErrFrame
+	}
+	o.Start = binary.BigEndian.Uint32(b[4:])
+	flow, err := segment.DecodeFlow(b[8:])
+	o.Flow = flow
+	return err
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,391 @@
+// Package relay decides, beside one upstream, what happens to each packet: it
+// reaches the upstream, goes on to the next agent on the frame's list, or goes
+// back to the entry that sent it.
+//
+// The upstream is the authority on the flows that it holds. The relay's table
+// of them is a cache: a relay that has just started offers packets of flows it
+// does not know to its upstream, which returns those it does not hold.
+//
+// # Usage
+//
+//	r := relay.New(self, service, codec, port)
+//	r.FromProcess(now, datagram) // frames of entries and other agents
+//	r.FromUpstream(now, packet)  // what the upstream sends and returns
+//	r.Heartbeat(now, heartbeat)  // what the upstream says of itself
+//	r.Tick(now)
+//
+// A Relay has no clock and no sockets; its methods are safe for concurrent use.
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
+)
+
+const (
+	// contexts is how many delivered packets are remembered until the
+	// upstream may have returned them. A power of two.
+	contexts = 4096
+	// closedFor is how long a closed flow stays in the table, so that late
+	// packets of its end still reach the upstream.
+	closedFor = 5 * time.Second
+	// maxAcknowledged is how far an acknowledgement may lie from the
+	// upstream's first sequence number: 16 MiB, 200 of the largest answers.
+	maxAcknowledged = 16 << 20
+	// resetAfterLeave is how long after its last call an upstream has surely
+	// stopped. It exits at once; this covers late timers.
+	resetAfterLeave = 150 * time.Millisecond
+)
+
+const (
+	offered phase = iota
+	accepted
+	closed
+)
+
+type (
+	// Port is where a relay's packets leave.
+	Port interface {
+		// ToUpstream delivers a packet to the upstream.
+		ToUpstream(packet []byte)
+		// ToCaller sends a packet to a caller.
+		ToCaller(flow segment.Flow, packet []byte)
+		// ToProcess sends a datagram to another process.
+		ToProcess(to peer.Addr, datagram []byte)
+		// Decided tells of a decision, for the log.
+		Decided(event Event, flow segment.Flow, frame *peer.Frame)
+	}
+
+	// Event names a decision.
+	Event string
+
+	// Upstream is what an upstream said of itself last.
+	Upstream struct {
+		ID       string
+		Born     int64
+		Sequence uint64
+		Slots    int
+		Draining bool
+		ColdFor  time.Duration
+	}
+
+	// Relay holds the state of one agent.
+	Relay struct {
+		self    peer.Addr
+		service peer.ServiceID
+		codec   segment.Codec
+		port    Port
+
+		mu        sync.Mutex
+		flows     map[segment.Flow]*state
+		ring      [contexts]context
+		next      uint32
+		buf       []byte
+		upstream  Upstream
+		start     uint32 // peer.StartOf the upstream, 0 if unknown
+		coldUntil time.Duration
+		alive     bool // the upstream has been heard and has not ended
+		leftAt    time.Duration
+		left      bool
+		open      int
+		running   int
+		lifetime  time.Duration
+	}
+
+	phase uint8
+
+	// state is what the relay knows of a flow at its upstream.
+	state struct {
+		phase        phase
+		numbered     bool   // first is known
+		first        uint32 // the upstream's first sequence number
+		acknowledged uint32 // what the caller acknowledged last
+		running      bool   // a request has no answer yet
+		callerDone   bool
+		upstreamDone bool
+		entry        peer.Addr
+		seen         time.Duration
+	}
+
+	// context is what is needed when the upstream returns a packet.
+	context struct {
+		tag        uint32
+		kind       peer.Kind
+		uncertain  bool
+		stage      int
+		hop        int
+		entry      peer.Addr
+		service    peer.ServiceID
+		candidates []peer.Addr
+	}
+
+	// Option changes what New returns.
+	Option func(*Relay)
+)
+
+// The decisions of a relay.
+const (
+	Taken       Event = "taken"
+	PassedOn    Event = "passed-on"
+	SentBack    Event = "sent-back"
+	Refused     Event = "refused-by-upstream"
+	ResetEnded  Event = "reset-upstream-ended"
+	UnknownBack Event = "returned-without-context"
+)
+
+// WithLifetime sets the age without packets at which a flow is forgotten.
+func WithLifetime(d time.Duration) Option { return func(r *Relay) { r.lifetime = d } }
+
+// New returns the relay of the upstream of a service.
+func New(self peer.Addr, service peer.ServiceID, codec segment.Codec, port Port, options ...Option) *Relay {
+	r := &Relay{
+		self:     self,
+		service:  service,
+		codec:    codec,
+		port:     port,
+		flows:    make(map[segment.Flow]*state),
+		lifetime: time.Minute,
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// FromProcess handles a frame of an entry or of another agent.
+func (r *Relay) FromProcess(now time.Duration, datagram []byte) error {
+	var f peer.Frame
+	if err := f.Decode(datagram); err != nil {
+		return err
+	}
+	h, err := r.codec.FromCaller(f.Packet)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h.Opens() {
+		r.handleOpening(now, &f, h)
+		return nil
+	}
+	r.handleOpen(now, &f, h)
+	return nil
+}
+
+// handleOpening handles a packet that asks for a new flow.
+func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Head) {
+	s := r.flows[h.Flow]
+	if s != nil && s.phase != closed {
+		r.deliver(now, f, h, s) // a copy: the upstream answers it again
+		return
+	}
+	if !r.takes(f) {
+		r.passOn(f, h)
+		return
+	}
+	if s == nil {
+		s = &state{}
+		r.flows[h.Flow] = s
+	}
+	*s = state{entry: f.Entry}
+	r.port.Decided(Taken, h.Flow, f)
+	r.deliver(now, f, h, s)
+}
+
+// takes decides whether the upstream is offered a new flow.
+func (r *Relay) takes(f *peer.Frame) bool {
+	if f.Service != r.service || !r.alive || r.upstream.Draining {
+		return false
+	}
+	last := f.Hop+1 >= len(f.Candidates)
+	return last || r.running < r.upstream.Slots
+}
+
+// handleOpen handles a packet of a flow that is open somewhere.
+func (r *Relay) handleOpen(now time.Duration, f *peer.Frame, h segment.Head) {
+	s := r.flows[h.Flow]
+	if s != nil && s.owns(h) {
+		r.deliver(now, f, h, s)
+		if f.Kind == peer.Search && s.phase == accepted {
+			r.announce(h.Flow, s, f.Entry)
+		}
+		return
+	}
+	if s == nil && f.Service == r.service {
+		s = &state{} // until the upstream answers the packet or returns it
+		r.flows[h.Flow] = s
+		r.deliver(now, f, h, s)
+		return
+	}
+	if s == nil && f.Service != r.service {
+		f.Uncertain = true // the table alone has answered
+	}
+	r.passOn(f, h)
+}
+
+// owns reports whether the packet belongs to the flow as the upstream opened
+// it. A caller may have been answered by two upstreams and chosen the other.
+func (s *state) owns(h segment.Head) bool {
+	if !s.numbered || !h.Has(segment.Ack) {
+		return true
+	}
+	return h.Acknowledged-s.first <= maxAcknowledged
+}
+
+// deliver gives the packet to the upstream and remembers where it came from.
+func (r *Relay) deliver(now time.Duration, f *peer.Frame, h segment.Head, s *state) {
+	r.note(now, f, h, s)
+	r.next++
+	c := &r.ring[r.next%contexts]
+	c.tag, c.kind, c.uncertain = r.next, f.Kind, f.Uncertain
+	c.stage, c.hop, c.entry, c.service = f.Stage, f.Hop, f.Entry, f.Service
+	c.candidates = append(c.candidates[:0], f.Candidates...)
+	r.codec.SetTag(f.Packet, r.next)
+	r.port.ToUpstream(f.Packet)
+}
+
+// note updates what is known of a flow from a caller's packet.
+func (r *Relay) note(now time.Duration, f *peer.Frame, h segment.Head, s *state) {
+	s.seen = now
+	s.entry = f.Entry
+	if h.Has(segment.Ack) {
+		s.acknowledged = h.Acknowledged
+	}
+	if h.Length > 0 && s.phase == accepted {
+		r.setRunning(s, true)
+	}
+	if h.Has(segment.Fin) {
+		s.callerDone = true
+	}
+	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
+		r.close(s)
+	}
+}
+
+// passOn sends a frame to the next agent on its list, or back to the entry.
+func (r *Relay) passOn(f *peer.Frame, h segment.Head) {
+	f.Hop++
+	if f.Hop < len(f.Candidates) {
+		r.port.Decided(PassedOn, h.Flow, f)
+		r.send(f.Candidates[f.Hop], f)
+		return
+	}
+	r.port.Decided(SentBack, h.Flow, f)
+	f.For, f.Kind = f.Kind, peer.Returned
+	r.send(f.Entry, f)
+}
+
+func (r *Relay) send(to peer.Addr, f *peer.Frame) {
+	r.buf = f.Append(r.buf[:0])
+	r.port.ToProcess(to, r.buf)
+}
+
+// FromUpstream handles a packet that the upstream sent or returned.
+func (r *Relay) FromUpstream(now time.Duration, packet []byte) error {
+	h, err := r.codec.FromUpstream(packet)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h.Has(segment.Bounced) {
+		r.bounced(h, packet)
+		return nil
+	}
+	r.answered(now, h)
+	r.port.ToCaller(h.Flow, packet)
+	return nil
+}
+
+// bounced handles a packet that the upstream does not want.
+func (r *Relay) bounced(h segment.Head, packet []byte) {
+	c := &r.ring[h.Tag%contexts]
+	if c.tag != h.Tag || c.kind == 0 {
+		r.port.Decided(UnknownBack, h.Flow, &peer.Frame{Packet: packet})
+		return
+	}
+	if s := r.flows[h.Flow]; s != nil && (!h.Opens() || s.phase == offered) {
+		r.forget(h.Flow, s)
+	}
+	f := &peer.Frame{
+		Kind:       c.kind,
+		Uncertain:  c.uncertain,
+		Stage:      c.stage,
+		Hop:        c.hop,
+		Entry:      c.entry,
+		Service:    c.service,
+		Candidates: c.candidates,
+		Packet:     packet,
+	}
+	r.codec.SetTag(packet, 0)
+	r.port.Decided(Refused, h.Flow, f)
+	r.passOn(f, h)
+}
+
+// answered updates what is known of a flow from a packet of its upstream.
+func (r *Relay) answered(now time.Duration, h segment.Head) {
+	s := r.flows[h.Flow]
+	if s == nil {
+		if h.Has(segment.Reset) {
+			return
+		}
+		s = &state{phase: accepted}
+		r.flows[h.Flow] = s
+		r.open++
+	}
+	s.seen = now
+	if h.Has(segment.Open) {
+		s.first, s.numbered = h.Sequence, true
+	}
+	if s.phase == offered {
+		s.phase = accepted
+		r.open++
+		r.announce(h.Flow, s, s.entry)
+	}
+	if h.Length > 0 {
+		r.setRunning(s, false)
+	}
+	if h.Has(segment.Fin) {
+		s.upstreamDone = true
+	}
+	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
+		r.close(s)
+	}
+}
+
+// announce tells an entry that the upstream holds the flow.
+func (r *Relay) announce(flow segment.Flow, s *state, entry peer.Addr) {
+	if entry == (peer.Addr{}) {
+		return
+	}
+	r.buf = peer.Owner{Flow: flow, Start: r.start}.Append(r.buf[:0])
+	r.port.ToProcess(entry, r.buf)
+}
+
+func (r *Relay) setRunning(s *state, running bool) {
+	if s.running == running {
+		return
+	}
+	s.running = running
+	if running {
+		r.running++
+		return
+	}
+	r.running--
+}
+
+func (r *Relay) close(s *state) {
+	if s.phase == accepted {
+		r.open--
+	}
+	r.setRunning(s, false)
+	s.phase = closed
+}
+
+func (r *Relay) forget(flow segment.Flow, s *state) {
+	r.close(s)
+	delete(r.flows, flow)
+}
--- /dev/null
+++ b/pkg/relay/upstream.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"time"
+
+	"hickoryhook.example/pkg/peer"
+)
+
+// Heartbeat takes in what the upstream says of itself. A heartbeat that is
+// older than the newest of the same start changes nothing. It reports whether
+// other processes should hear of it at once.
+func (r *Relay) Heartbeat(now time.Duration, u Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	start := peer.StartOf(u.ID, u.Born)
+	same := r.start == start
+	switch {
+	case same && u.Sequence <= r.upstream.Sequence && u.Sequence > 0:
+		return false
+	case !same && r.start != 0 && u.Born < r.upstream.Born:
+		return false // of an earlier start, held up on its way
+	case !same && r.start != 0:
+		r.resetAll()
+	}
+	changed := !same || !r.alive || u.Draining != r.upstream.Draining
+	r.upstream, r.start = u, start
+	r.alive, r.left = true, false
+	r.coldUntil = now + u.ColdFor
+	return changed
+}
+
+// Leave takes in the upstream's last call before it stops.
+func (r *Relay) Leave(now time.Duration, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.start != 0 && id != r.upstream.ID {
+		return
+	}
+	r.alive = false
+	r.left, r.leftAt = true, now
+}
+
+// Ended takes in the proof that the upstream's process is gone. It reports
+// whether that was news.
+func (r *Relay) Ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.alive || r.open > 0
+	r.alive = false
+	r.resetAll()
+	return news
+}
+
+// Assume takes in that the upstream serves, before its first heartbeat.
+func (r *Relay) Assume(slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.start == 0 && !r.left {
+		r.alive = true
+		r.upstream.Slots = slots
+	}
+}
+
+// Tick forgets flows that have ended and tells the callers of an upstream that
+// has stopped.
+func (r *Relay) Tick(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left && now-r.leftAt >= resetAfterLeave {
+		r.resetAll()
+	}
+	for flow, s := range r.flows {
+		idle := now - s.seen
+		if idle > r.lifetime || idle > closedFor && s.phase != accepted {
+			r.forget(flow, s)
+		}
+	}
+}
+
+// Stop tells the callers of an upstream that has stopped, before the relay
+// itself does.
+func (r *Relay) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left {
+		r.resetAll()
+	}
+}
+
+// Left reports whether the upstream has made its last call.
+func (r *Relay) Left() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// Status returns what the relay reports to entries.
+func (r *Relay) Status(now time.Duration) peer.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return peer.Status{
+		Upstream: r.upstream.ID,
+		Born:     r.upstream.Born,
+		Taking:   r.alive && !r.upstream.Draining,
+		Slots:    r.upstream.Slots,
+		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
+		Flows:    r.open,
+		Running:  r.running,
+	}
+}
+
+// resetAll tells the callers of all open flows that the upstream has ended.
+func (r *Relay) resetAll() {
+	for flow, s := range r.flows {
+		if s.phase == accepted {
+			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
+			r.port.Decided(ResetEnded, flow, nil)
+		}
+		r.forget(flow, s)
+	}
+}
+
+// Flows returns how many flows the table holds, and of them the open ones.
+func (r *Relay) Flows() (held, open int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flows), r.open
+}
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,105 @@
+// Package route holds the operators' configuration: which services may take
+// the flows of which address.
+//
+// # Usage
+//
+//	config := route.New(version, routes, services, route.WithIdleTimeout(15*time.Second))
+//	r, ok := config.Lookup(flow.VIP())
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+type (
+	// Share is the part of a route's new flows that one service receives.
+	Share struct {
+		// Service is the name of the service.
+		Service string
+		// Weight is relative to the other shares of the route.
+		Weight uint32
+	}
+
+	// Route sends the new flows of one address to services.
+	Route struct {
+		// Name identifies the route for operators.
+		Name string
+		// VIP is the address that callers use.
+		VIP netip.AddrPort
+		// Shares lists the services that may take new flows.
+		Shares []Share
+		// Timeout is what a request of this route may take.
+		Timeout time.Duration
+		// Idempotent says that requests may be repeated.
+		Idempotent bool
+	}
+
+	// Config is one version of the configuration. It is immutable.
+	Config struct {
+		version     uint64
+		routes      map[netip.AddrPort]Route
+		idleTimeout time.Duration
+	}
+
+	// Option changes what New returns.
+	Option func(*Config)
+)
+
+// WithIdleTimeout sets after how long without packets a flow may be forgotten.
+func WithIdleTimeout(d time.Duration) Option { return func(c *Config) { c.idleTimeout = d } }
+
+// New returns a configuration. Of two routes with one address the last holds.
+func New(version uint64, routes []Route, options ...Option) *Config {
+	c := &Config{version: version, routes: make(map[netip.AddrPort]Route, len(routes))}
+	for _, r := range routes {
+		c.routes[r.VIP] = r
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Version returns the version; a higher one is newer.
+func (c *Config) Version() uint64 { return c.version }
+
+// Len returns the number of routes.
+func (c *Config) Len() int { return len(c.routes) }
+
+// IdleTimeout returns after how long without packets a flow may be forgotten,
+// 0 if the configuration does not say.
+func (c *Config) IdleTimeout() time.Duration { return c.idleTimeout }
+
+// Lookup returns the route of an address.
+func (c *Config) Lookup(vip netip.AddrPort) (Route, bool) {
+	r, ok := c.routes[vip]
+	return r, ok
+}
+
+// Each calls f for each route, in no particular order.
+func (c *Config) Each(f func(Route)) {
+	for _, r := range c.routes {
+		f(r)
+	}
+}
+
+// Pick returns the service of a new flow: hash chooses in proportion to the
+// weights. It reports false if no share has a weight.
+func (r Route) Pick(hash uint64) (string, bool) {
+	var total uint64
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return "", false
+	}
+	at := hash % total
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service, true
+		}
+		at -= uint64(s.Weight)
+	}
+	return "", false
+}
