--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -41,12 +41,12 @@
 // Agent is the process beside an upstream.
 type Agent struct {
 	*process
-	relay        *relay.Relay
-	upstream     *net.UDPConn
-	sequence     atomic.Uint64
-	lastBeat     atomic.Int64 // steady time of the last heartbeat
-	ended        atomic.Bool
-	reportedOnce atomic.Bool
+	relay    *relay.Relay
+	upstream *net.UDPConn
+	sequence atomic.Uint64
+	lastBeat atomic.Int64 // steady time of the last heartbeat
+	ended    atomic.Bool
+	stopping atomic.Bool
 }
 
 // NewAgent opens the sockets of an agent.
@@ -103,6 +103,7 @@
 }
 
 func (a *Agent) stop() {
+	a.stopping.Store(true)
 	a.relay.Stop()
 	a.message(peer.Goodbye, peer.Farewell{Returns: !a.relay.Left()}, a.entries.known(a.now())...)
 	time.Sleep(farewellPause)
@@ -163,9 +164,7 @@
 		a.log.Info("entry heard", zap.Stringer("entry", from))
 		fresh = append(fresh, from)
 	}
-	if len(fresh) > 0 {
-		a.message(peer.Report, a.status(), fresh...)
-	}
+	a.reportTo(fresh...)
 	return nil
 }
 
@@ -183,8 +182,14 @@
 }
 
 // report tells the entries how the upstream does.
-func (a *Agent) report() {
-	a.message(peer.Report, a.status(), a.entries.known(a.now())...)
+func (a *Agent) report() { a.reportTo(a.entries.known(a.now())...) }
+
+// reportTo reports to some entries; after the farewell it is silent.
+func (a *Agent) reportTo(entries ...peer.Addr) {
+	if len(entries) == 0 || a.stopping.Load() {
+		return
+	}
+	a.message(peer.Report, a.status(), entries...)
 }
 
 // control serves the upstream's heartbeats.
@@ -292,9 +297,7 @@
 			a.log.Warn("entries not read", daemon.Err(err))
 			return
 		}
-		if fresh := a.entries.add(a.now(), list...); len(fresh) > 0 {
-			a.message(peer.Report, a.status(), fresh...)
-		}
+		a.reportTo(a.entries.add(a.now(), list...)...)
 	})(ctx)
 }
 
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -303,7 +303,7 @@
 // that has one. It reports false if there is none.
 func (d *Director) next(s *shard, h segment.Head, f *peer.Frame, stage int) bool {
 	for ; ; stage++ {
-		service, list, ok := d.members.forSearch(d.history.services(h.Flow.VIP()), h.Flow.Hash(), stage)
+		service, list, ok := d.members.forSearch(d.holders(h.Flow), h.Flow.Hash(), stage)
 		if !ok {
 			return false
 		}
@@ -316,12 +316,35 @@
 	}
 }
 
+// holders returns the services that may hold a flow, the likeliest first: the
+// one that would take it today.
+func (d *Director) holders(f segment.Flow) []peer.ServiceID {
+	services := d.history.services(f.VIP())
+	c := d.config.Load()
+	if len(services) < 2 || c == nil {
+		return services
+	}
+	r, _ := c.Lookup(f.VIP())
+	name, ok := r.Pick(f.Hash())
+	if !ok {
+		return services
+	}
+	likely := peer.Service(name)
+	out := append(make([]peer.ServiceID, 0, len(services)), likely)
+	for _, s := range services {
+		if s != likely {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // searchAll asks every agent at once, after a walk that has ended nowhere.
 func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
 	rec.searchedAt = now
 	tried := 0
 	for stage := 0; ; stage++ {
-		service, list, ok := d.members.forSearch(d.history.services(h.Flow.VIP()), h.Flow.Hash(), stage)
+		service, list, ok := d.members.forSearch(d.holders(h.Flow), h.Flow.Hash(), stage)
 		if !ok {
 			break
 		}
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -38,6 +38,14 @@
 		pausedAt  time.Duration // when this process last stood still
 		firstAt   time.Duration // when the first agent was heard
 		newest    time.Duration // when an agent was last new
+		departed  map[peer.Addr]departure
+	}
+
+	// departure is the end of an agent that said goodbye for good. Its last
+	// reports may arrive after it.
+	departure struct {
+		incarnation int64
+		at          time.Duration
 	}
 
 	agent struct {
@@ -46,13 +54,16 @@
 		status  peer.Status
 		heard   time.Duration
 		pending int // flows sent since the last report
-		gone    bool
 		leaving bool
 	}
 )
 
 func newMembers() *members {
-	return &members{agents: make(map[peer.Addr]*agent), byService: make(map[peer.ServiceID][]*agent)}
+	return &members{
+		agents:    make(map[peer.Addr]*agent),
+		byService: make(map[peer.ServiceID][]*agent),
+		departed:  make(map[peer.Addr]departure),
+	}
 }
 
 // report takes in an agent's report. ended says that the agent's upstream has
@@ -60,6 +71,9 @@
 func (m *members) report(now time.Duration, from peer.Addr, status peer.Status) (isNew, ended bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if d, ok := m.departed[from]; ok && status.Incarnation <= d.incarnation {
+		return false, false
+	}
 	a, ok := m.agents[from]
 	if !ok {
 		a = &agent{address: from}
@@ -77,7 +91,7 @@
 	if status.Upstream == "" && old.Service == status.Service {
 		status.Upstream, status.Born = old.Upstream, old.Born
 	}
-	a.status, a.heard, a.pending, a.gone, a.leaving = status, now, 0, false, false
+	a.status, a.heard, a.pending, a.leaving = status, now, 0, false
 	service := peer.Service(status.Service)
 	if a.service != service {
 		a.service = service
@@ -95,7 +109,7 @@
 	}
 	a.leaving = true
 	if !returns {
-		a.gone = true
+		m.departed[from] = departure{incarnation: a.status.Incarnation, at: now}
 		delete(m.agents, from)
 		m.rebuild()
 	}
@@ -122,6 +136,11 @@
 		}
 		return
 	}
+	for address, d := range m.departed {
+		if now-d.at > forgetAfter {
+			delete(m.departed, address)
+		}
+	}
 	n := len(m.agents)
 	for address, a := range m.agents {
 		if now-a.heard > forgetAfter {
