--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -254,7 +254,11 @@
 // firstLook asks an upstream that was there before the agent whether it
 // serves, instead of waiting for its next heartbeat.
 func (a *Agent) firstLook() {
-	if listens, known := a.listens(); !known || !listens {
+	listens, known := a.listens()
+	if known && !listens && a.lastBeat.Load() == 0 && a.relay.Ended() {
+		a.log.Info("no upstream yet")
+	}
+	if !known || !listens {
 		return
 	}
 	client := &http.Client{Timeout: lookTimeout}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -53,6 +53,7 @@
 		d.port.Decided(Decision{Event: Found, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
 	rec.owner, rec.start, rec.open, rec.searching = from, o.Start, true, false
+	rec.plan = nil
 	rec.service = d.members.service(from)
 	rec.seen = now
 }
@@ -110,16 +111,21 @@
 
 // unfound handles a packet of a search whose list has come to its end.
 func (d *Director) unfound(now time.Duration, s *shard, f *peer.Frame, h segment.Head) {
-	f.Entry = d.self
-	if d.next(s, h, f, f.Stage+1) {
-		return
-	}
 	rec := s.flows[h.Flow]
-	if rec != nil && !rec.searching {
+	if rec == nil {
+		return // this process has forgotten the search; the caller asks again
+	}
+	if !rec.searching {
 		d.deliver(s, rec, f.Packet)
 		return
 	}
-	if f.Uncertain || !d.members.settled(now) {
+	if f.Round != rec.round {
+		return // of an earlier search
+	}
+	if d.next(s, rec, f, f.Stage+1) {
+		return
+	}
+	if f.Uncertain || !d.members.settled(now) || !d.members.covered(rec.plan) {
 		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
 		return
 	}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -118,6 +118,8 @@
 		start        uint32 // of the owner's upstream, 0 if not heard
 		open         bool   // the owner has said that its upstream holds it
 		searching    bool
+		plan         []leg // of the search
+		round        uint8 // counts the searches of the flow
 		searchedAt   time.Duration
 		acknowledged uint32
 		seen         time.Duration
@@ -269,7 +271,7 @@
 		return
 	}
 	if now-rec.searchedAt < searchPatience {
-		d.walk(s, h, packet)
+		d.walk(s, rec, h, packet)
 		return
 	}
 	d.searchAll(now, s, rec, h, packet)
@@ -288,32 +290,30 @@
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
+	rec.plan = d.members.plan(d.holders(h.Flow), h.Flow.Hash())
+	rec.round++
 	d.port.Decided(Decision{Event: Searched, Flow: h.Flow})
-	d.walk(s, h, packet)
+	d.walk(s, rec, h, packet)
 }
 
-func (d *Director) walk(s *shard, h segment.Head, packet []byte) {
-	f := &peer.Frame{Kind: peer.Search, Entry: d.self, Packet: packet}
-	if !d.next(s, h, f, 0) {
+// walk sends a packet along the first leg of its flow's search.
+func (d *Director) walk(s *shard, rec *record, h segment.Head, packet []byte) {
+	if !d.next(s, rec, &peer.Frame{Packet: packet}, 0) {
 		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
 	}
 }
 
-// next sends a search on to the list of the stage, or of the first later stage
-// that has one. It reports false if there is none.
-func (d *Director) next(s *shard, h segment.Head, f *peer.Frame, stage int) bool {
-	for ; ; stage++ {
-		service, list, ok := d.members.forSearch(d.holders(h.Flow), h.Flow.Hash(), stage)
-		if !ok {
-			return false
-		}
-		if len(list) == 0 {
-			continue
-		}
-		f.Kind, f.Service, f.Candidates, f.Stage, f.Hop = peer.Search, service, list, stage, 0
-		d.send(s, list[0], f)
-		return true
+// next sends a searching packet along a leg of the search. It reports false if
+// the search has no such leg.
+func (d *Director) next(s *shard, rec *record, f *peer.Frame, stage int) bool {
+	if stage >= len(rec.plan) {
+		return false
 	}
+	l := rec.plan[stage]
+	f.Kind, f.Entry, f.Service, f.Candidates, f.Hop = peer.Search, d.self, l.service, l.agents, 0
+	f.Stage, f.Round = stage, rec.round
+	d.send(s, l.agents[0], f)
+	return true
 }
 
 // holders returns the services that may hold a flow, the likeliest first: the
@@ -343,14 +343,10 @@
 func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
 	rec.searchedAt = now
 	tried := 0
-	for stage := 0; ; stage++ {
-		service, list, ok := d.members.forSearch(d.holders(h.Flow), h.Flow.Hash(), stage)
-		if !ok {
-			break
-		}
-		for _, a := range list {
+	for _, l := range d.members.plan(d.holders(h.Flow), h.Flow.Hash()) {
+		for _, a := range l.agents {
 			one := [1]peer.Addr{a}
-			d.send(s, a, &peer.Frame{Kind: peer.Search, Entry: d.self, Service: service, Candidates: one[:], Stage: allStage, Packet: packet})
+			d.send(s, a, &peer.Frame{Kind: peer.Search, Entry: d.self, Service: l.service, Candidates: one[:], Stage: allStage, Packet: packet})
 			tried++
 		}
 	}
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -48,6 +48,12 @@
 		at          time.Duration
 	}
 
+	// leg is a part of a search: agents to ask one after the other.
+	leg struct {
+		service peer.ServiceID // 0: answer from memory alone
+		agents  []peer.Addr
+	}
+
 	agent struct {
 		address peer.Addr
 		service peer.ServiceID
@@ -246,21 +252,15 @@
 	return out
 }
 
-// forSearch returns the list of one stage of a search: the agents of each
-// service that may hold the flow, then all others, which answer from what
-// they remember and do not touch their upstream. It reports false after the
-// last stage.
-func (m *members) forSearch(services []peer.ServiceID, hash uint64, stage int) (peer.ServiceID, []peer.Addr, bool) {
+// plan returns the legs of a search: the agents of each service that may hold
+// the flow, then all others, which answer from what they remember and do not
+// touch their upstream.
+func (m *members) plan(services []peer.ServiceID, hash uint64) []leg {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	var legs []leg
 	for _, service := range services {
-		list := slices.Clone(m.byService[service])
-		if pages := (len(list) + peer.MaxCandidates - 1) / peer.MaxCandidates; stage >= pages {
-			stage -= pages
-			continue
-		}
-		byHash(list, hash)
-		return service, page(list, stage), true
+		legs = appendLegs(legs, service, m.byService[service], hash)
 	}
 	var rest []*agent
 	for service, list := range m.byService {
@@ -268,16 +268,34 @@
 			rest = append(rest, list...)
 		}
 	}
-	if stage*peer.MaxCandidates >= len(rest) {
-		return 0, nil, false
+	return appendLegs(legs, 0, rest, hash)
+}
+
+// covered reports whether a plan has asked every agent that is known now.
+func (m *members) covered(plan []leg) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	asked := make(map[peer.Addr]bool, len(m.agents))
+	for _, l := range plan {
+		for _, a := range l.agents {
+			asked[a] = true
+		}
+	}
+	for address := range m.agents {
+		if !asked[address] {
+			return false
+		}
 	}
-	byHash(rest, hash)
-	return 0, page(rest, stage), true
+	return true
 }
 
-func page(list []*agent, n int) []peer.Addr {
-	from := n * peer.MaxCandidates
-	return addresses(list[from:min(len(list), from+peer.MaxCandidates)])
+func appendLegs(legs []leg, service peer.ServiceID, agents []*agent, hash uint64) []leg {
+	list := slices.Clone(agents)
+	byHash(list, hash)
+	for part := range slices.Chunk(list, peer.MaxCandidates) {
+		legs = append(legs, leg{service: service, agents: addresses(part)})
+	}
+	return legs
 }
 
 func addresses(list []*agent) []peer.Addr {
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -81,6 +81,8 @@
 		Service ServiceID
 		// Stage counts the lists that the entry has tried for this packet.
 		Stage int
+		// Round is the entry's number of the search.
+		Round uint8
 		// Hop is the index in Candidates of the agent that has the frame.
 		Hop int
 		// Candidates are the agents that the packet may visit, in order.
@@ -120,7 +122,7 @@
 // Append appends the encoded frame to b.
 //
 // Layout: magic, kind, for, flags, entry (4), service (4), hop, count, stage,
-// a zero, count addresses (4 each), packet.
+// round, count addresses (4 each), packet.
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Uncertain {
@@ -129,7 +131,7 @@
 	b = append(b, magic, byte(f.Kind), byte(f.For), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), 0)
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round)
 	for _, c := range f.Candidates {
 		b = append(b, c[:]...)
 	}
@@ -147,7 +149,7 @@
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[8:]))
 	f.Hop = int(b[12])
 	count := int(b[13])
-	f.Stage = int(b[14])
+	f.Stage, f.Round = int(b[14]), b[15]
 	if count > MaxCandidates || f.Hop > count || len(b) < headBytes+4*count {
 		return ErrFrame
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -88,6 +88,7 @@
 		start     uint32 // peer.StartOf the upstream, 0 if unknown
 		coldUntil time.Duration
 		alive     bool // the upstream has been heard and has not ended
+		gone      bool // no process listens at the upstream's address
 		leftAt    time.Duration
 		left      bool
 		open      int
@@ -116,6 +117,7 @@
 		kind       peer.Kind
 		uncertain  bool
 		stage      int
+		round      uint8
 		hop        int
 		entry      peer.Addr
 		service    peer.ServiceID
@@ -214,6 +216,10 @@
 		}
 		return
 	}
+	if s == nil && r.gone {
+		r.passOn(f, h)
+		return
+	}
 	if s == nil && f.Service == r.service {
 		s = &state{} // until the upstream answers the packet or returns it
 		r.flows[h.Flow] = s
@@ -241,7 +247,7 @@
 	r.next++
 	c := &r.ring[r.next%contexts]
 	c.tag, c.kind, c.uncertain = r.next, f.Kind, f.Uncertain
-	c.stage, c.hop, c.entry, c.service = f.Stage, f.Hop, f.Entry, f.Service
+	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.candidates = append(c.candidates[:0], f.Candidates...)
 	r.codec.SetTag(f.Packet, r.next)
 	r.port.ToUpstream(f.Packet)
@@ -314,6 +320,7 @@
 		Kind:       c.kind,
 		Uncertain:  c.uncertain,
 		Stage:      c.stage,
+		Round:      c.round,
 		Hop:        c.hop,
 		Entry:      c.entry,
 		Service:    c.service,
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -24,7 +24,7 @@
 	}
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.start = u, start
-	r.alive, r.left = true, false
+	r.alive, r.gone, r.left = true, false, false
 	r.coldUntil = now + u.ColdFor
 	return changed
 }
@@ -45,8 +45,8 @@
 func (r *Relay) Ended() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	news := r.alive || r.open > 0
-	r.alive = false
+	news := !r.gone
+	r.alive, r.gone = false, true
 	r.resetAll()
 	return news
 }
@@ -66,7 +66,8 @@
 func (r *Relay) Tick(now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.left && now-r.leftAt >= resetAfterLeave {
+	if r.left && !r.gone && now-r.leftAt >= resetAfterLeave {
+		r.gone = true
 		r.resetAll()
 	}
 	for flow, s := range r.flows {
