--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -290,7 +290,7 @@
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
-	rec.plan = d.members.plan(d.holders(h.Flow), h.Flow.Hash())
+	rec.plan = d.members.plan(now, d.holders(h.Flow), h.Flow.Hash())
 	rec.round++
 	d.port.Decided(Decision{Event: Searched, Flow: h.Flow})
 	d.walk(s, rec, h, packet)
@@ -343,7 +343,7 @@
 func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
 	rec.searchedAt = now
 	tried := 0
-	for _, l := range d.members.plan(d.holders(h.Flow), h.Flow.Hash()) {
+	for _, l := range d.members.plan(now, d.holders(h.Flow), h.Flow.Hash()) {
 		for _, a := range l.agents {
 			one := [1]peer.Addr{a}
 			d.send(s, a, &peer.Frame{Kind: peer.Search, Entry: d.self, Service: l.service, Candidates: one[:], Stage: allStage, Packet: packet})
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -176,7 +176,7 @@
 		return false
 	}
 	for _, a := range m.agents {
-		if now-a.heard > suspectAfter {
+		if !a.status.Empty && now-a.heard > suspectAfter {
 			return false
 		}
 	}
@@ -254,21 +254,36 @@
 
 // plan returns the legs of a search: the agents of each service that may hold
 // the flow, then all others, which answer from what they remember and do not
-// touch their upstream.
-func (m *members) plan(services []peer.ServiceID, hash uint64) []leg {
+// touch their upstream. Agents that have fallen silent come last, as a packet
+// may end at them.
+func (m *members) plan(now time.Duration, services []peer.ServiceID, hash uint64) []leg {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var legs []leg
-	for _, service := range services {
-		legs = appendLegs(legs, service, m.byService[service], hash)
+	for _, silent := range []bool{false, true} {
+		var rest []*agent
+		for _, service := range services {
+			legs = appendLegs(legs, service, holders(now, m.byService[service], silent), hash)
+		}
+		for service, list := range m.byService {
+			if !slices.Contains(services, service) {
+				rest = append(rest, holders(now, list, silent)...)
+			}
+		}
+		legs = appendLegs(legs, 0, rest, hash)
 	}
-	var rest []*agent
-	for service, list := range m.byService {
-		if !slices.Contains(services, service) {
-			rest = append(rest, list...)
+	return legs
+}
+
+// holders returns the agents that may hold flows and are, or are not, silent.
+func holders(now time.Duration, agents []*agent, silent bool) []*agent {
+	var out []*agent
+	for _, a := range agents {
+		if !a.status.Empty && (now-a.heard > suspectAfter) == silent {
+			out = append(out, a)
 		}
 	}
-	return appendLegs(legs, 0, rest, hash)
+	return out
 }
 
 // covered reports whether a plan has asked every agent that is known now.
@@ -281,8 +296,8 @@
 			asked[a] = true
 		}
 	}
-	for address := range m.agents {
-		if !asked[address] {
+	for address, a := range m.agents {
+		if !a.status.Empty && !asked[address] {
 			return false
 		}
 	}
@@ -290,9 +305,8 @@
 }
 
 func appendLegs(legs []leg, service peer.ServiceID, agents []*agent, hash uint64) []leg {
-	list := slices.Clone(agents)
-	byHash(list, hash)
-	for part := range slices.Chunk(list, peer.MaxCandidates) {
+	byHash(agents, hash)
+	for part := range slices.Chunk(agents, peer.MaxCandidates) {
 		legs = append(legs, leg{service: service, agents: addresses(part)})
 	}
 	return legs
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -22,6 +22,9 @@
 		Born int64 `cbor:"5,keyasint,omitempty"`
 		// Taking says that the upstream takes new flows.
 		Taking bool `cbor:"6,keyasint,omitempty"`
+		// Empty says that no upstream runs beside the agent, so that it holds
+		// no flows.
+		Empty bool `cbor:"12,keyasint,omitempty"`
 		// Slots is how many requests the upstream serves at once.
 		Slots int `cbor:"7,keyasint,omitempty"`
 		// ColdFor is how much longer the upstream serves slowly, in
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -103,6 +103,7 @@
 		Upstream: r.upstream.ID,
 		Born:     r.upstream.Born,
 		Taking:   r.alive && !r.upstream.Draining,
+		Empty:    r.gone,
 		Slots:    r.upstream.Slots,
 		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
 		Flows:    r.open,
