--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -76,7 +76,8 @@
 		{"peers", func(context.Context) error { return a.receive(a.peers, a.fromProcess) }},
 		{"upstream", func(context.Context) error { return a.receive(a.upstream, a.fromUpstream) }},
 		{"tick", every(tickEvery, func() { a.relay.Tick(a.now()) })},
-		{"report", every(reportEvery, a.report)},
+		{"report", a.hurried(a.hurry, reportEvery, a.report)},
+		{"register", a.register(agentPrefix)},
 		{"look", every(a.settings.Heartbeat/4, a.look)},
 		{"find entries", a.findEntries},
 		a.serve(a.settings.Control, a.control()),
@@ -184,6 +185,13 @@
 // report tells the entries how the upstream does.
 func (a *Agent) report() { a.reportTo(a.entries.known(a.now())...) }
 
+// hurry reports whether the entries may not have heard the agent yet: in the
+// first moments of either.
+func (a *Agent) hurry() bool {
+	now := a.now()
+	return now < hurryFor/4 || len(a.entries.alive(now)) == 0
+}
+
 // reportTo reports to some entries; after the farewell it is silent.
 func (a *Agent) reportTo(entries ...peer.Addr) {
 	if len(entries) == 0 || a.stopping.Load() {
@@ -296,12 +304,12 @@
 		if len(a.entries.alive(a.now())) > 0 {
 			return
 		}
-		list, err := a.readRegistry(ctx)
+		r, err := a.readRegistry(ctx, true)
 		if err != nil {
 			a.log.Warn("entries not read", daemon.Err(err))
 			return
 		}
-		a.reportTo(a.entries.add(a.now(), list...)...)
+		a.reportTo(a.entries.add(a.now(), r.entries...)...)
 	})(ctx)
 }
 
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -51,10 +51,11 @@
 	revision uint64
 	readAt   time.Duration
 	fetching bool
+	holders  chan struct{}
 }
 
 func newConfigSync(p *process, d *director.Director) *configSync {
-	return &configSync{process: p, director: d, client: &http.Client{Timeout: storeTimeout}, wanted: make(chan struct{}, 1)}
+	return &configSync{process: p, director: d, client: &http.Client{Timeout: storeTimeout}, wanted: make(chan struct{}, 1), holders: make(chan struct{}, 1)}
 }
 
 // apply puts an encoded configuration in force if it is newer.
@@ -65,9 +66,13 @@
 		c.log.Error("configuration not understood, the last one stays", zap.String("from", from), daemon.Err(err))
 		return err
 	}
-	if !c.director.SetConfig(config) {
+	newer, holders := c.director.SetConfig(config)
+	if !newer {
 		return nil
 	}
+	if holders {
+		c.holdersChanged()
+	}
 	c.mu.Lock()
 	c.raw = raw
 	c.mu.Unlock()
@@ -219,11 +224,13 @@
 	if err := c.apply(raw, from.String()); err != nil {
 		c.log.Warn("configuration of another entry", zap.Uint64("config", version), daemon.Err(err))
 	}
+	c.fetchHolders(address)
 }
 
 // handler serves the configuration to other entries.
 func (c *configSync) handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+holdersPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.director.Holders()) })
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		raw := c.raw
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -28,6 +28,9 @@
 	quietFor = 300 * time.Millisecond
 	// leaveMargin is kept of the grace time for the last messages.
 	leaveMargin = 700 * time.Millisecond
+	// unsettledPause is the pause between reads of the registrations while
+	// some registered agents have not been heard.
+	unsettledPause = time.Second
 	// agentsAtOnce bounds the agents that one answer to an entry lists; the
 	// datagram stays below 1,400 bytes.
 	agentsAtOnce = 200
@@ -44,6 +47,8 @@
 	greetMu  sync.Mutex
 	greetAt  map[peer.Addr]time.Duration
 	lastTick time.Duration
+
+	registryRead bool // of the task that finds processes
 }
 
 // NewEntry opens the sockets of an entry.
@@ -72,11 +77,12 @@
 		{"callers", func(context.Context) error { return e.receive(e.callers, e.fromCaller) }},
 		{"peers", func(context.Context) error { return e.receive(e.peers, e.fromProcess) }},
 		{"tick", every(tickEvery, e.tick)},
-		{"greet", every(reportEvery, e.greet)},
-		{"register", e.register},
-		{"find entries", e.findEntries},
+		{"greet", e.hurried(e.hurry, reportEvery, e.greet)},
+		{"register", e.register(entryPrefix)},
+		{"find processes", e.findProcesses},
 		{"watch configuration", e.config.watch},
 		{"verify configuration", e.config.verifyLoop},
+		{"write holders", e.config.writeHolders},
 		e.serve(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler()),
 		e.serve(e.settings.Ready, readyHandler(e.ready)),
 	}
@@ -259,35 +265,41 @@
 	e.director.Tick(now, since)
 }
 
-// findEntries reads the registered entries at the start, until some are
-// known, and then rarely.
-func (e *Entry) findEntries(ctx context.Context) error {
-	next := time.Duration(0)
-	step := func() {
-		now := e.now()
-		if now < next {
-			return
-		}
-		list, err := e.readRegistry(ctx)
-		if err != nil {
-			e.log.Warn("entries not read", daemon.Err(err))
-			next = now + time.Second
-			return
-		}
-		if fresh := e.entries.add(now, e.notSelf(list)...); len(fresh) > 0 {
-			e.message(peer.Hello, e.greeting(true), fresh...)
+// hurry reports whether the entry cannot serve yet.
+func (e *Entry) hurry() bool { return !e.ready() || e.now() < hurryFor/4 }
+
+// findProcesses reads the registrations: at the start, often while registered
+// agents have not been heard, and then rarely, as processes announce
+// themselves.
+func (e *Entry) findProcesses(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := registerFor
+		if err := e.findOnce(ctx); err != nil {
+			e.log.Warn("registrations not read", daemon.Err(err))
+			pause = retryPause
+		} else if !e.director.Settled(e.now()) {
+			pause = unsettledPause
 		}
-		next = now + e.registryPause()
+		sleep(ctx, pause)
 	}
-	step()
-	return every(time.Second, step)(ctx)
+	return nil
 }
 
-// registryPause is how long the list of entries is good for: others announce
-// themselves, so that the list matters to a process that knows nobody.
-func (e *Entry) registryPause() time.Duration {
-	if len(e.entries.alive(e.now())) == 0 {
-		return time.Second
+func (e *Entry) findOnce(ctx context.Context) error {
+	first := !e.registryRead
+	r, err := e.readRegistry(ctx, !first)
+	if err != nil {
+		return err
 	}
-	return registerFor
+	e.registryRead = true
+	if first {
+		e.config.takeHolders(r.holders)
+	}
+	e.director.Expect(r.agents)
+	fresh := e.entries.add(e.now(), e.notSelf(r.entries)...)
+	e.message(peer.Hello, e.greeting(true), fresh...)
+	if first {
+		e.message(peer.Hello, e.greeting(false), r.agents...)
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/fleet/holders.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/platform"
+)
+
+const (
+	// holdersEvery bounds the writes of the holders during quick successions of
+	// configurations.
+	holdersEvery = 500 * time.Millisecond
+
+	holdersPath = "/holders"
+)
+
+// holdersChanged asks for a write of the services that may hold flows.
+func (c *configSync) holdersChanged() {
+	select {
+	case c.holders <- struct{}{}:
+	default:
+	}
+}
+
+// writeHolders keeps in the store which services may hold the flows of which
+// address, so that entries know it that start when no other is left: an open
+// flow stays with a service that the configuration of today may not name. One
+// entry writes for all.
+func (c *configSync) writeHolders(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.holders:
+		}
+		if c.writesForAll() {
+			if err := c.putHolders(ctx); err != nil {
+				c.log.Warn("holders not written", daemon.Err(err))
+				c.holdersChanged()
+			}
+		}
+		sleep(ctx, holdersEvery)
+	}
+	return nil
+}
+
+// writesForAll reports whether this entry has the lowest address of those that
+// are alive. Two that think so write the same.
+func (c *configSync) writesForAll() bool {
+	for _, a := range c.entries.alive(c.now()) {
+		if slices.Compare(a[:], c.self[:]) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *configSync) putHolders(ctx context.Context) error {
+	value, err := json.Marshal(c.director.Holders())
+	if err != nil {
+		return errors.Wrap(err, "encode holders")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	c.counts.add("store-writes")
+	return c.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: holdersKey, Value: value}}})
+}
+
+// takeHolders takes in what the store or another entry says of the holders.
+func (c *configSync) takeHolders(value []byte) {
+	holders := make(map[netip.AddrPort][]string)
+	if value != nil {
+		if err := json.Unmarshal(value, &holders); err != nil {
+			c.log.Error("holders not understood", daemon.Err(err))
+			return
+		}
+	}
+	c.director.MergeHolders(holders)
+}
+
+// fetchHolders asks another entry for the holders.
+func (c *configSync) fetchHolders(from netip.AddrPort) {
+	resp, err := c.client.Get("http://" + from.String() + holdersPath)
+	if err != nil {
+		c.log.Warn("holders not fetched", zap.Stringer("entry", from), daemon.Err(err))
+		return
+	}
+	defer resp.Body.Close()
+	holders := make(map[netip.AddrPort][]string)
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxConfig)).Decode(&holders); err != nil {
+		c.log.Warn("holders not fetched", zap.Stringer("entry", from), daemon.Err(err))
+		return
+	}
+	c.director.MergeHolders(holders)
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -45,8 +45,10 @@
 	// storeTimeout bounds a call to the store: 4 ms is usual, 60 times as
 	// long when it is slow.
 	storeTimeout = time.Second
-	// registryPrefix is where entries register in the store.
-	registryPrefix = "hickoryhook/entry/"
+	// hurryEvery and hurryFor are for the start of a process, when the others
+	// may be starting, too: greetings and reports go out faster.
+	hurryEvery = 50 * time.Millisecond
+	hurryFor   = 2 * time.Second
 )
 
 type (
@@ -208,6 +210,22 @@
 	}
 }
 
+// hurried calls f at the short interval at the start of the process, while
+// needed, and then at the long one, until the context ends.
+func (p *process) hurried(needed func() bool, interval time.Duration, f func()) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		last := time.Duration(0)
+		for ctx.Err() == nil && p.now() < hurryFor {
+			if now := p.now(); needed() || now-last >= interval {
+				last = now
+				f()
+			}
+			sleep(ctx, hurryEvery)
+		}
+		return every(interval, f)(ctx)
+	}
+}
+
 // runAll starts tasks and returns a channel on which each reports its end.
 func runAll(ctx context.Context, tasks []task) <-chan error {
 	ends := make(chan error, len(tasks))
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -125,7 +125,8 @@
 	if d.next(s, rec, f, f.Stage+1) {
 		return
 	}
-	if f.Uncertain || !d.members.settled(now) || !d.members.covered(rec.plan) {
+	if f.Uncertain || !d.settled(now) || !d.members.covered(rec.plan) {
+		rec.unsure = true
 		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
 		return
 	}
@@ -204,4 +205,7 @@
 func (d *Director) Agents() []peer.Addr { return d.members.list() }
 
 // Reachable reports whether enough agents are heard to serve.
-func (d *Director) Reachable(now time.Duration) bool { return d.members.settled(now) }
+func (d *Director) Reachable(now time.Duration) bool { return d.members.reachable(now) }
+
+// Settled reports whether enough is known to say that nobody holds a flow.
+func (d *Director) Settled(now time.Duration) bool { return d.settled(now) }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -18,6 +18,7 @@
 package director
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,7 @@
 		codec    segment.Codec
 		port     Port
 		lifetime time.Duration
+		configMu sync.Mutex
 		config   atomic.Pointer[route.Config]
 		verified atomic.Int64 // time of the last check with the store
 		members  *members
@@ -118,6 +120,7 @@
 		start        uint32 // of the owner's upstream, 0 if not heard
 		open         bool   // the owner has said that its upstream holds it
 		searching    bool
+		unsure       bool  // the search has ended without a certain answer
 		plan         []leg // of the search
 		round        uint8 // counts the searches of the flow
 		searchedAt   time.Duration
@@ -146,20 +149,29 @@
 }
 
 // SetConfig puts a configuration in force, unless a newer one is. It reports
-// whether it did.
-func (d *Director) SetConfig(c *route.Config) bool {
-	for {
-		old := d.config.Load()
-		if old != nil && old.Version() >= c.Version() {
-			return false
-		}
-		if d.config.CompareAndSwap(old, c) {
-			d.history.add(c)
-			return true
-		}
+// whether it did, and whether the services that may hold flows changed.
+func (d *Director) SetConfig(c *route.Config) (newer, holders bool) {
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
+	old := d.config.Load()
+	if old != nil && old.Version() >= c.Version() {
+		return false, false
 	}
+	d.config.Store(c)
+	return true, d.history.add(c)
 }
 
+// Holders returns, for each address, the services that may hold flows of it.
+func (d *Director) Holders() map[netip.AddrPort][]string { return d.history.snapshot() }
+
+// MergeHolders takes in what an earlier or another process knew of the
+// services that may hold flows.
+func (d *Director) MergeHolders(holders map[netip.AddrPort][]string) { d.history.merge(holders) }
+
+// Expect takes in which agents are registered. Until all of them have been
+// heard, no flow is taken for dead.
+func (d *Director) Expect(agents []peer.Addr) { d.members.expect(agents) }
+
 // Verified takes in that the configuration was the newest at a time.
 func (d *Director) Verified(at time.Duration) { d.verified.Store(int64(at)) }
 
@@ -247,7 +259,7 @@
 
 // refuse resets an opening that no upstream can take, if that is certain.
 func (d *Director) refuse(now time.Duration, h segment.Head) {
-	if !d.members.settled(now) {
+	if !d.settled(now) {
 		return // agents may not have been heard yet
 	}
 	d.reset(NoTaker, h, 0)
@@ -270,6 +282,10 @@
 		d.deliver(s, rec, packet)
 		return
 	}
+	if rec.unsure {
+		d.search(now, s, rec, h, packet)
+		return
+	}
 	if now-rec.searchedAt < searchPatience {
 		d.walk(s, rec, h, packet)
 		return
@@ -286,7 +302,7 @@
 // search starts a walk past the agents that may own the flow.
 func (d *Director) search(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
 	rec.seen, rec.searching, rec.searchedAt = now, true, now
-	rec.owner, rec.start, rec.open = peer.Addr{}, 0, false
+	rec.owner, rec.start, rec.open, rec.unsure = peer.Addr{}, 0, false, false
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
@@ -319,23 +335,17 @@
 // holders returns the services that may hold a flow, the likeliest first: the
 // one that would take it today.
 func (d *Director) holders(f segment.Flow) []peer.ServiceID {
-	services := d.history.services(f.VIP())
-	c := d.config.Load()
-	if len(services) < 2 || c == nil {
-		return services
-	}
-	r, _ := c.Lookup(f.VIP())
-	name, ok := r.Pick(f.Hash())
-	if !ok {
-		return services
-	}
-	likely := peer.Service(name)
-	out := append(make([]peer.ServiceID, 0, len(services)), likely)
-	for _, s := range services {
-		if s != likely {
-			out = append(out, s)
+	var services []string
+	if r, ok := d.config.Load().Lookup(f.VIP()); ok {
+		if likely, ok := r.Pick(f.Hash()); ok {
+			services = append(services, likely)
 		}
 	}
+	services = union(services, d.history.services(f.VIP()))
+	out := make([]peer.ServiceID, len(services))
+	for i, s := range services {
+		out[i] = peer.Service(s)
+	}
 	return out
 }
 
@@ -353,6 +363,11 @@
 	d.port.Decided(Decision{Event: SearchedAll, Flow: h.Flow, Tried: tried})
 }
 
+// settled reports whether enough is known to say that nobody holds a flow.
+func (d *Director) settled(now time.Duration) bool {
+	return d.history.complete() && d.members.settled(now)
+}
+
 // reset tells a caller that its flow is gone or refused.
 func (d *Director) reset(event Event, h segment.Head, tried int) {
 	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -35,9 +35,8 @@
 		mu        sync.RWMutex
 		agents    map[peer.Addr]*agent
 		byService map[peer.ServiceID][]*agent
-		pausedAt  time.Duration // when this process last stood still
-		firstAt   time.Duration // when the first agent was heard
-		newest    time.Duration // when an agent was last new
+		pausedAt  time.Duration          // when this process last stood still
+		expected  map[peer.Addr]struct{} // registered agents, nil if not known
 		departed  map[peer.Addr]departure
 	}
 
@@ -84,10 +83,6 @@
 	if !ok {
 		a = &agent{address: from}
 		m.agents[from] = a
-		m.newest = now
-		if m.firstAt == 0 {
-			m.firstAt = now
-		}
 	}
 	old := a.status
 	if ok && (status.Incarnation < old.Incarnation || status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence) {
@@ -167,14 +162,22 @@
 }
 
 // settled reports whether what is known of the agents is complete enough to
-// say that none of them holds a flow: some are known, none appeared a moment
-// ago, and all are heard.
+// say that none of them holds a flow: all that are registered are known, and
+// all are heard.
 func (m *members) settled(now time.Duration) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if len(m.agents) == 0 || now-m.newest < suspectAfter/2 || now-m.pausedAt < suspectAfter {
+	if m.expected == nil || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
 		return false
 	}
+	for address := range m.expected {
+		if _, ok := m.agents[address]; ok {
+			continue
+		}
+		if _, ok := m.departed[address]; !ok {
+			return false
+		}
+	}
 	for _, a := range m.agents {
 		if !a.status.Empty && now-a.heard > suspectAfter {
 			return false
@@ -183,16 +186,28 @@
 	return true
 }
 
-// heard returns how many agents are known and how many of them are heard.
-func (m *members) heard(now time.Duration) (known, heard int) {
+// expect takes in which agents are registered.
+func (m *members) expect(agents []peer.Addr) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expected = make(map[peer.Addr]struct{}, len(agents))
+	for _, a := range agents {
+		m.expected[a] = struct{}{}
+	}
+}
+
+// reachable reports whether at least half of the agents are heard: with fewer
+// it is likelier that this instance is cut off than that they are gone.
+func (m *members) reachable(now time.Duration) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	heard := 0
 	for _, a := range m.agents {
 		if now-a.heard <= suspectAfter {
 			heard++
 		}
 	}
-	return len(m.agents), heard
+	return heard > 0 && 2*heard >= len(m.agents)
 }
 
 func (m *members) service(address peer.Addr) peer.ServiceID {
@@ -263,11 +278,11 @@
 	for _, silent := range []bool{false, true} {
 		var rest []*agent
 		for _, service := range services {
-			legs = appendLegs(legs, service, holders(now, m.byService[service], silent), hash)
+			legs = appendLegs(legs, service, ableToHold(now, m.byService[service], silent), hash)
 		}
 		for service, list := range m.byService {
 			if !slices.Contains(services, service) {
-				rest = append(rest, holders(now, list, silent)...)
+				rest = append(rest, ableToHold(now, list, silent)...)
 			}
 		}
 		legs = appendLegs(legs, 0, rest, hash)
@@ -275,8 +290,8 @@
 	return legs
 }
 
-// holders returns the agents that may hold flows and are, or are not, silent.
-func holders(now time.Duration, agents []*agent, silent bool) []*agent {
+// ableToHold returns the agents that may hold flows and are, or are not, silent.
+func ableToHold(now time.Duration, agents []*agent, silent bool) []*agent {
 	var out []*agent
 	for _, a := range agents {
 		if !a.status.Empty && (now-a.heard > suspectAfter) == silent {
