--- a/internal/world/flows.go
+++ b/internal/world/flows.go
@@ -91,12 +91,12 @@
 		token:    uint64(w.counts.flows),
 		open:     true,
 		feed:     feed,
-		openedAt: w.now,
-		heardAt:  w.now,
+		openedAt: w.Now(),
+		heardAt:  w.Now(),
 	}
 	w.flows = append(w.flows, f)
 	w.byToken[f.token] = f
-	w.after(w.skewed(sendInterval), f.run)
+	w.After(w.skewed(sendInterval), f.run)
 	return f
 }
 
@@ -134,7 +134,7 @@
 	if f.feed && f.heardAt.After(f.openedAt) {
 		interval = keepAliveInterval
 	}
-	f.world.after(interval, f.run)
+	f.world.After(interval, f.run)
 }
 
 // send sends one datagram. It reports false if the flow has ended.
@@ -144,7 +144,7 @@
 	}
 	w := f.world
 	f.unanswered++
-	stalled := f.feed && w.now.Sub(f.heardAt) > stalledAfter
+	stalled := f.feed && w.Now().Sub(f.heardAt) > stalledAfter
 	if f.unanswered > brokenAfter || stalled {
 		f.fail()
 		return false
@@ -168,7 +168,7 @@
 	}
 	payload := make([]byte, payloadBytes)
 	binary.BigEndian.PutUint64(payload, f.token)
-	w.after(w.delay(), func() {
+	w.After(w.delay(), func() {
 		if e.alive {
 			e.fromCaller(f, payload)
 		}
@@ -201,7 +201,7 @@
 	}
 	f.broken = true
 	if w := f.world; w.config.Trace != nil {
-		fmt.Fprintf(w.config.Trace, "%s flow %d broken, unanswered=%d feed=%v\n", w.now.Format("04:05.000"), f.token, f.unanswered, f.feed)
+		fmt.Fprintf(w.config.Trace, "%s flow %d broken, unanswered=%d feed=%v\n", w.Now().Format("04:05.000"), f.token, f.unanswered, f.feed)
 	}
 	f.world.counts.broken++
 }
@@ -233,7 +233,7 @@
 	}
 	token := binary.BigEndian.Uint64(payload[:tokenBytes])
 	f := w.byToken[token]
-	w.after(w.delay(), func() {
+	w.After(w.delay(), func() {
 		if f.address != caller || f.service.vip != vip {
 			w.counts.crossAnswered++
 			return
@@ -244,7 +244,7 @@
 		}
 		w.counts.answered++
 		f.unanswered = 0
-		f.heardAt = w.now
+		f.heardAt = w.Now()
 	})
 }
 
@@ -263,7 +263,7 @@
 	f.pushing = true
 	payload := make([]byte, payloadBytes)
 	binary.BigEndian.PutUint64(payload, f.token)
-	f.world.every(pushInterval, pushInterval, func() bool {
+	f.world.Every(pushInterval, pushInterval, func() bool {
 		if !f.open || !a.alive {
 			return false
 		}
--- a/internal/world/nodes.go
+++ b/internal/world/nodes.go
@@ -53,7 +53,7 @@
 		address: netip.AddrPortFrom(w.newHost(), tunnelPort),
 		alive:   true,
 		inSpray: true,
-		traffic: traffic{born: w.now},
+		traffic: traffic{born: w.Now()},
 		numbers: make(map[flow.ServiceID]uint64),
 		local:   make(map[flow.Digest]member.ID),
 		views:   make(map[flow.ServiceID]*member.View),
@@ -85,7 +85,7 @@
 // Kill ends the entry without warning. The fabric notices after the delay.
 func (e *Entry) Kill(noticed time.Duration) {
 	e.alive = false
-	e.world.after(noticed, func() { e.inSpray = false })
+	e.world.After(noticed, func() { e.inSpray = false })
 }
 
 // Stop takes the entry out of the fabric and ends it after the convergence
@@ -93,7 +93,7 @@
 func (e *Entry) Stop(convergence time.Duration) {
 	e.inSpray = false
 	e.core.Stop()
-	e.world.after(convergence, func() { e.alive = false })
+	e.world.After(convergence, func() { e.alive = false })
 }
 
 func (e *Entry) up() bool { return e.alive }
@@ -109,7 +109,7 @@
 
 func (e *Entry) receive(from netip.AddrPort, p *tunnel.Packet) {
 	if p.Control() {
-		e.traffic.add(e.world.now, p.SealedSize()+ipHeaderBytes)
+		e.traffic.add(e.world.Now(), p.SealedSize()+ipHeaderBytes)
 	}
 	var out entry.Output
 	e.core.FromAgent(from, p, &out)
@@ -132,7 +132,7 @@
 	for i := range sends {
 		p := sends[i].Packet()
 		if p.Control() {
-			e.traffic.add(e.world.now, p.SealedSize()+ipHeaderBytes)
+			e.traffic.add(e.world.Now(), p.SealedSize()+ipHeaderBytes)
 		}
 		e.world.send(e.address, sends[i].Address(), p)
 	}
@@ -157,7 +157,7 @@
 		e.local[d] = id
 	}
 	a := e.world.agentOf(id)
-	e.world.after(e.world.delay(), func() {
+	e.world.After(e.world.delay(), func() {
 		if a != nil && a.alive {
 			a.serve(payload, func(answer []byte) { e.world.answer(f.address, f.service.vip, answer) })
 		}
@@ -183,11 +183,11 @@
 		service: s,
 		self:    member.New(name, netip.AddrPortFrom(w.newHost(), tunnelPort), member.WithWeight(weight)),
 		alive:   true,
-		traffic: traffic{born: w.now},
+		traffic: traffic{born: w.Now()},
 	}
 	w.change(s, func() { s.members = append(s.members, a.self) })
 	a.number = s.number
-	a.core = agent.New(a.self, s.View(), w.now,
+	a.core = agent.New(a.self, s.View(), w.Now(),
 		agent.WithSlots(slots),
 		agent.WithPolicy(w.config.Policy),
 		agent.WithIdleTimeout(w.config.IdleTimeout),
@@ -198,7 +198,7 @@
 	)
 	w.nodes[a.self.Address()] = a
 	w.agents = append(w.agents, a)
-	w.every(w.skewed(agent.TickInterval), agent.TickInterval, a.tick)
+	w.Every(w.skewed(agent.TickInterval), agent.TickInterval, a.tick)
 	return a
 }
 
@@ -247,9 +247,9 @@
 // leaves, and ends when the other members have settled.
 func (a *Agent) Drain() {
 	w := a.world
-	a.drainAt = w.now
+	a.drainAt = w.Now()
 	w.change(a.service, func() { a.service.update(a.self.ID(), member.WithState(member.Draining)) })
-	w.every(time.Second, time.Second, func() bool {
+	w.Every(time.Second, time.Second, func() bool {
 		if !a.alive {
 			return false
 		}
@@ -271,7 +271,7 @@
 	w := a.world
 	w.change(a.service, func() { a.service.update(a.self.ID(), member.WithState(member.Leaving)) })
 	left := a.service.number
-	w.every(time.Second, time.Second, func() bool {
+	w.Every(time.Second, time.Second, func() bool {
 		if !a.alive {
 			return false
 		}
@@ -293,7 +293,7 @@
 			f.lost = true
 		}
 	}
-	a.world.after(noticed, func() {
+	a.world.After(noticed, func() {
 		a.world.change(a.service, func() { a.service.remove(a.self.ID()) })
 	})
 }
@@ -301,7 +301,7 @@
 // Pause freezes the agent for the duration; what arrives is handled after it.
 func (a *Agent) Pause(d time.Duration) {
 	a.paused = true
-	a.world.after(d, func() {
+	a.world.After(d, func() {
 		a.paused = false
 		waiting := a.waiting
 		a.waiting = nil
@@ -323,7 +323,7 @@
 	}
 	a.number = view.Number()
 	a.world.traceView(a, view)
-	a.core.SetView(a.world.now, view)
+	a.core.SetView(a.world.Now(), view)
 }
 
 func (a *Agent) tick() bool {
@@ -331,7 +331,7 @@
 		return false
 	}
 	if !a.paused {
-		a.core.Tick(a.world.now, &a.out)
+		a.core.Tick(a.world.Now(), &a.out)
 		a.perform()
 	}
 	return true
@@ -343,12 +343,12 @@
 		return
 	}
 	if p.Control() {
-		a.traffic.add(a.world.now, p.SealedSize()+ipHeaderBytes)
+		a.traffic.add(a.world.Now(), p.SealedSize()+ipHeaderBytes)
 	}
 	if p.Kind() == tunnel.Data {
 		a.world.counts.extraHops += int64(min(p.Hops(), 1))
 	}
-	a.core.Handle(a.world.now, from, p, &a.out)
+	a.core.Handle(a.world.Now(), from, p, &a.out)
 	a.perform()
 }
 
@@ -357,7 +357,7 @@
 	for i := range sends {
 		p := sends[i].Packet()
 		if p.Control() {
-			a.traffic.add(a.world.now, p.SealedSize()+ipHeaderBytes)
+			a.traffic.add(a.world.Now(), p.SealedSize()+ipHeaderBytes)
 		}
 		a.world.send(a.self.Address(), sends[i].Address(), p)
 	}
@@ -378,7 +378,7 @@
 		a.waiting = append(a.waiting, func() { a.reply(d, epoch, answer) })
 		return
 	}
-	a.core.Reply(a.world.now, d, epoch, answer, &a.out)
+	a.core.Reply(a.world.Now(), d, epoch, answer, &a.out)
 	a.perform()
 }
 
@@ -386,7 +386,7 @@
 func (a *Agent) serve(payload []byte, answer func([]byte)) {
 	f := a.world.delivered(a, payload)
 	kept := slices.Clone(payload)
-	a.world.after(time.Duration(a.world.random.Int64N(int64(maxServiceTime))), func() { answer(kept) })
+	a.world.After(time.Duration(a.world.random.Int64N(int64(maxServiceTime))), func() { answer(kept) })
 	if f != nil && f.feed && !f.pushing {
 		f.startPushing(a, answer)
 	}
--- a/internal/world/report.go
+++ b/internal/world/report.go
@@ -47,7 +47,7 @@
 	}
 	w.reportAgents(&r)
 	for _, e := range w.entries {
-		r.EntryControlBytes = max(r.EntryControlBytes, e.traffic.mean(w.now))
+		r.EntryControlBytes = max(r.EntryControlBytes, e.traffic.mean(w.Now()))
 	}
 	r.ControlBytesPerSecond = max(r.AgentControlBytes, r.EntryControlBytes)
 	return r
@@ -56,7 +56,7 @@
 func (w *World) reportAgents(r *Report) {
 	var searches int64
 	for _, a := range w.agents {
-		r.AgentControlBytes = max(r.AgentControlBytes, a.traffic.mean(w.now))
+		r.AgentControlBytes = max(r.AgentControlBytes, a.traffic.mean(w.Now()))
 		r.AgentControlBytesPeak = max(r.AgentControlBytesPeak, a.traffic.peak)
 		r.OpenFlowsPerAgentMaximum = max(r.OpenFlowsPerAgentMaximum, a.core.Owned())
 		searches += a.core.Stats().Snapshot().Searches
--- a/internal/world/trace.go
+++ b/internal/world/trace.go
@@ -17,7 +17,7 @@
 	if w.config.Trace == nil || f.token != w.config.TraceFlow {
 		return
 	}
-	fmt.Fprintf(w.config.Trace, "%s %s\n", w.now.Format("04:05.000"), fmt.Sprintf(format, args...))
+	fmt.Fprintf(w.config.Trace, "%s %s\n", w.Now().Format("04:05.000"), fmt.Sprintf(format, args...))
 }
 
 // tracePacket writes a packet of the traced flow.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -1,3 +1,20 @@
+// Package world runs the real decision cores of entries and agents against
+// small fakes of the network, the upstreams and the callers, in one goroutine
+// and in virtual time.
+//
+// Every message takes a seeded delay and may be lost. Views reach nodes one by
+// one. The world watches the promises that the system makes to callers, and
+// counts each breach.
+//
+// # Usage
+//
+//	w := world.New(world.Config{Seed: 1, Skew: 2 * time.Second, Loss: 0.01})
+//	svc := w.AddService(1, "maklerlink")
+//	w.AddEntry()
+//	w.AddAgent(svc, member.DefaultWeight)
+//	w.OpenFlow(svc)
+//	w.Run(10 * time.Second)
+//	report := w.Report()
 package world
 
 import (
@@ -8,6 +25,7 @@
 	"slices"
 	"time"
 
+	"hickoryhook.example/internal/vtime"
 	"hickoryhook.example/pkg/agent"
 	"hickoryhook.example/pkg/entry"
 	"hickoryhook.example/pkg/flow"
@@ -59,7 +77,7 @@
 
 	// World is the network and everything attached to it.
 	World struct {
-		*loop
+		*vtime.Loop
 		config   Config
 		random   *rand.Rand
 		hasher   flow.Hasher
@@ -120,7 +138,7 @@
 		cfg.Policy = placement.NewLeastWork[placement.Estimate]()
 	}
 	return &World{
-		loop:    newLoop(time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)),
+		Loop:    vtime.New(time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)),
 		config:  cfg,
 		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)),
 		hasher:  flow.NewHasher([16]byte{byte(cfg.Seed), 1}),
@@ -130,14 +148,8 @@
 	}
 }
 
-// Now returns the virtual time.
-func (w *World) Now() time.Time { return w.now }
-
 // Run lets the given time pass.
-func (w *World) Run(d time.Duration) { w.runUntil(w.now.Add(d)) }
-
-// After runs f when the delay is over.
-func (w *World) After(d time.Duration, f func()) { w.after(d, f) }
+func (w *World) Run(d time.Duration) { w.RunUntil(w.Now().Add(d)) }
 
 // SetLoss changes the probability that a message is lost.
 func (w *World) SetLoss(p float64) { w.config.Loss = p }
@@ -188,7 +200,7 @@
 	s.number++
 	view := s.View()
 	for _, e := range w.entries {
-		w.after(w.skewed(w.config.Skew), func() { e.setView(view) })
+		w.After(w.skewed(w.config.Skew), func() { e.setView(view) })
 	}
 	for _, a := range w.agents {
 		if a.service != s {
@@ -198,7 +210,7 @@
 		if m := view.Find(a.self.ID()); m != nil && m.State() == member.Draining {
 			bound = min(bound, maxDrainDelay)
 		}
-		w.after(w.skewed(bound), func() { a.setView(view) })
+		w.After(w.skewed(bound), func() { a.setView(view) })
 	}
 }
 
@@ -236,10 +248,10 @@
 	w.tracePacket("sent", from, to, p)
 	carried := *p
 	carried.SetPayload(slices.Clone(p.Payload()))
-	w.after(w.delay(), func() { w.arrive(from, to, &carried) })
+	w.After(w.delay(), func() { w.arrive(from, to, &carried) })
 	if w.config.Duplicates > 0 && w.random.Float64() < w.config.Duplicates {
 		again := carried
-		w.after(w.delay(), func() { w.arrive(from, to, &again) })
+		w.After(w.delay(), func() { w.arrive(from, to, &again) })
 	}
 }
 
