--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -52,10 +52,11 @@
 	readAt   time.Duration
 	fetching bool
 	holders  chan struct{}
+	changed  func() // tells the other entries of a new configuration at once
 }
 
-func newConfigSync(p *process, d *director.Director) *configSync {
-	return &configSync{process: p, director: d, client: &http.Client{Timeout: storeTimeout}, wanted: make(chan struct{}, 1), holders: make(chan struct{}, 1)}
+func newConfigSync(p *process, d *director.Director, changed func()) *configSync {
+	return &configSync{process: p, director: d, changed: changed, client: &http.Client{Timeout: storeTimeout}, wanted: make(chan struct{}, 1), holders: make(chan struct{}, 1)}
 }
 
 // apply puts an encoded configuration in force if it is newer.
@@ -78,15 +79,10 @@
 	c.mu.Unlock()
 	c.counts.add("configurations")
 	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from))
-	c.greetNow(config.Version())
+	c.changed()
 	return nil
 }
 
-// greetNow tells the other entries of a new configuration at once.
-func (c *configSync) greetNow(version uint64) {
-	c.message(peer.Hello, peer.Greeting{Incarnation: c.started.UnixMilli(), ConfigVersion: version}, c.entries.alive(c.now())...)
-}
-
 // read reads the configuration from the store.
 func (c *configSync) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -20,14 +20,6 @@
 const (
 	// greetAgentEvery is how often an entry answers an agent's reports.
 	greetAgentEvery = 2 * time.Second
-	// leaveAfter is how long an entry that stops is not ready before it ends:
-	// the routers ask twice a second and let go after two misses, and packets
-	// still on their way take a few milliseconds.
-	leaveAfter = 1800 * time.Millisecond
-	// quietFor is the time without packets after which a stopping entry ends.
-	quietFor = 300 * time.Millisecond
-	// leaveMargin is kept of the grace time for the last messages.
-	leaveMargin = 700 * time.Millisecond
 	// unsettledPause is the pause between reads of the registrations while
 	// some registered agents have not been heard.
 	unsettledPause = time.Second
@@ -63,7 +55,7 @@
 	}
 	e := &Entry{process: p, callers: conn, greetAt: make(map[peer.Addr]time.Duration)}
 	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime))
-	e.config = newConfigSync(p, e.director)
+	e.config = newConfigSync(p, e.director, e.greetAlive)
 	return e, nil
 }
 
@@ -112,14 +104,20 @@
 
 // leave serves on until no router sends packets any more.
 func (e *Entry) leave() {
-	e.stopping.Store(true)
-	begin := e.now()
+	told := e.now()
 	e.log.Info("entry stops", zap.Int("flows", e.director.Flows()))
+	for !mayLeave(e.now(), e.now()-told, e.settings.Grace, e.entries.neighbours(e.settings.Place)) {
+		time.Sleep(tickEvery)
+	}
+	begin := e.now()
+	e.stopping.Store(true)
+	e.greet()
+	e.log.Info("entry not ready", zap.Duration("waited", begin-told))
 	for {
 		time.Sleep(tickEvery)
-		spent := e.now() - begin
-		quiet := e.now() - time.Duration(e.lastPkt.Load())
-		if spent >= leaveAfter && quiet >= quietFor || spent >= e.settings.Grace-leaveMargin {
+		now := e.now()
+		quiet := now - time.Duration(e.lastPkt.Load())
+		if now-begin >= leaveAfter && quiet >= quietFor || now-told >= e.settings.Grace-leaveMargin {
 			return
 		}
 	}
@@ -246,7 +244,8 @@
 
 // greeting returns what the entry tells of itself.
 func (e *Entry) greeting(asks bool) peer.Greeting {
-	g := peer.Greeting{Incarnation: e.started.UnixMilli(), Entries: e.entries.alive(e.now()), Asks: asks}
+	g := peer.Greeting{Incarnation: e.started.UnixMilli(), Entries: e.entries.alive(e.now()), Asks: asks,
+		Place: e.settings.Place, Ready: e.ready()}
 	if c := e.director.Config(); c != nil {
 		g.ConfigVersion = c.Version()
 	}
@@ -258,6 +257,9 @@
 	e.message(peer.Hello, e.greeting(asks), e.entries.known(e.now())...)
 }
 
+// greetAlive greets the entries that are alive.
+func (e *Entry) greetAlive() { e.message(peer.Hello, e.greeting(false), e.entries.alive(e.now())...) }
+
 func (e *Entry) tick() {
 	now := e.now()
 	since := now - e.lastTick
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -77,6 +77,9 @@
 		everHeard   bool
 		version     uint64
 		incarnation int64
+		place       string
+		ready       bool
+		readySince  time.Duration
 	}
 
 	// task is a goroutine with a name. Its end is reported on a channel.
@@ -265,7 +268,11 @@
 		s.byAddr[from] = e
 	}
 	isNew = !e.everHeard || now-e.heard > entryLost || e.incarnation != g.Incarnation
-	e.heard, e.everHeard, e.version, e.incarnation = now, true, g.ConfigVersion, g.Incarnation
+	if g.Ready && !e.ready {
+		e.readySince = now
+	}
+	e.heard, e.everHeard, e.version, e.incarnation = now, true, max(e.version, g.ConfigVersion), g.Incarnation
+	e.place, e.ready = g.Place, g.Ready
 	return isNew
 }
 
@@ -273,7 +280,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.byAddr[a]; ok {
-		e.everHeard = false
+		e.everHeard, e.ready = false, false
 	}
 }
 
@@ -307,6 +314,19 @@
 	return out
 }
 
+// neighbours returns what is known of the other entries of a place.
+func (s *entrySet) neighbours(place string) []neighbour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []neighbour
+	for _, e := range s.byAddr {
+		if e.place == place {
+			out = append(out, neighbour{heard: e.heard, ready: e.everHeard && e.ready, readySince: e.readySince})
+		}
+	}
+	return out
+}
+
 // newest returns the entry with the newest configuration.
 func (s *entrySet) newest() (peer.Addr, uint64) {
 	s.mu.Lock()
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -49,6 +49,10 @@
 		// Agents are the agents that the sender knows to be alive; filled in
 		// answers only.
 		Agents []Addr `cbor:"4,keyasint,omitempty"`
+		// Place is the entry's failure domain.
+		Place string `cbor:"6,keyasint,omitempty"`
+		// Ready says that the entry is ready for callers.
+		Ready bool `cbor:"7,keyasint,omitempty"`
 		// Asks wants the receiver to answer with all that it knows.
 		Asks bool `cbor:"5,keyasint,omitempty"`
 	}
