--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -75,6 +75,7 @@
 		{"watch configuration", e.config.watch},
 		{"verify configuration", e.config.verifyLoop},
 		{"write holders", e.config.writeHolders},
+		{"remember flows", e.remember},
 		e.serve(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler()),
 		e.serve(e.settings.Ready, readyHandler(e.ready)),
 	}
--- a/internal/fleetsim/caller.go
+++ b/internal/fleetsim/caller.go
@@ -25,25 +25,25 @@
 
 	// caller sends requests on a flow that it keeps open.
 	caller struct {
-		world    *World
-		vip      netip.AddrPort
-		address  netip.Addr
-		every    time.Duration
-		port     uint16
-		flow     segment.Flow
-		state    callerState
-		attempt  int // tells timers of an earlier state from those of this
-		seq      uint32
-		ack      uint32
-		asked    time.Duration
-		retries  int
-		finished bool // the upstream has closed the flow
+		world   *World
+		vip     netip.AddrPort
+		address netip.Addr
+		every   time.Duration
+		port    uint16
+		flow    segment.Flow
+		state   callerState
+		attempt int // tells timers of an earlier state from those of this
+		seq     uint32
+		ack     uint32
+		asked   time.Duration
+		retries int
+		repeats bool // a request that ran or may have run is tried again
 	}
 )
 
-func (w *World) addCaller(vip netip.AddrPort, every time.Duration) {
+func (w *World) addCaller(vip netip.AddrPort, every time.Duration, repeats bool) {
 	n := uint32(callerNetwork + len(w.callers) + 1)
-	c := &caller{world: w, vip: vip, every: every, port: firstPort,
+	c := &caller{world: w, vip: vip, every: every, port: firstPort, repeats: repeats,
 		address: netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})}
 	w.callers = append(w.callers, c)
 	first := time.Duration(w.random.Int64N(int64(every)))
@@ -173,7 +173,10 @@
 	}
 	was := c.state
 	c.state = idle
-	if (was == opening || was == waiting) && c.retries < 2 {
+	switch {
+	case was == waiting && !c.repeats:
+		w.count("lost")
+	case (was == opening || was == waiting) && c.retries < 2:
 		c.retries++
 		c.try()
 	}
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -41,6 +41,7 @@
 	e.core.MergeHolders(w.holders)
 	e.core.SetConfig(w.config())
 	e.core.Verified(w.now())
+	e.core.Recall(w.now(), w.stored[e.address])
 	running := func() bool { return e.alive && e.life == life }
 	w.Every(tickEvery, tickEvery, func() bool {
 		if running() && !e.paused {
@@ -50,6 +51,12 @@
 		}
 		return running()
 	})
+	w.Every(rememberEvery, rememberEvery, func() bool {
+		if running() && !e.paused {
+			w.stored[e.address] = e.core.Remember(rememberFlows)
+		}
+		return running()
+	})
 	w.Every(0, registryEvery, func() bool {
 		if running() && !e.paused {
 			e.core.Expect(w.registered())
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"hickoryhook.example/internal/vtime"
+	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/rendezvous"
 	"hickoryhook.example/pkg/route"
@@ -41,6 +42,8 @@
 	maxDelay      = 700 * time.Microsecond
 	localDelay    = 20 * time.Microsecond // between an agent and its upstream
 	callerDelay   = time.Millisecond
+	rememberEvery = 2 * time.Second
+	rememberFlows = 300
 	restartDelay  = 250 * time.Millisecond
 	beatEvery     = 800 * time.Millisecond
 	entryStops    = 1800 * time.Millisecond
@@ -64,6 +67,7 @@
 		entries   []*Entry
 		callers   []*caller
 		nodes     map[peer.Addr]node
+		stored    map[peer.Addr][]director.Remembered
 		counts    map[string]int
 		hosts     uint32
 		starts    int
@@ -101,6 +105,7 @@
 		allowed: make(map[netip.AddrPort]map[string]bool),
 		holders: make(map[netip.AddrPort][]string),
 		nodes:   make(map[peer.Addr]node),
+		stored:  make(map[peer.Addr][]director.Remembered),
 		counts:  make(map[string]int),
 	}
 	for _, o := range options {
@@ -182,7 +187,15 @@
 // AddCallers starts callers that send a request to an address at an interval.
 func (w *World) AddCallers(count int, vip netip.AddrPort, every time.Duration) {
 	for range count {
-		w.addCaller(vip, every)
+		w.addCaller(vip, every, true)
+	}
+}
+
+// AddBookings starts callers whose requests must not be repeated: one that is
+// under way when its flow is reset is lost.
+func (w *World) AddBookings(count int, vip netip.AddrPort, every time.Duration) {
+	for range count {
+		w.addCaller(vip, every, false)
 	}
 }
 
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -139,9 +139,9 @@
 // Report takes in what an agent tells of itself. It reports whether the agent
 // is new.
 func (d *Director) Report(now time.Duration, from peer.Addr, status peer.Status) bool {
-	isNew, ended := d.members.report(now, from, status)
-	if ended {
-		d.resetOwned(from, peer.StartOf(status.Upstream, status.Born))
+	isNew, restarted := d.members.report(now, from, status)
+	if start, empty := d.members.start(from); restarted && (start != 0 || empty) {
+		d.resetOwned(from, start)
 	}
 	return isNew
 }
@@ -151,7 +151,8 @@
 	d.members.goodbye(now, from, returns)
 }
 
-// resetOwned tells the callers of flows at an earlier start of an upstream.
+// resetOwned tells the callers of flows at an upstream's other starts than the
+// given one; 0 means that none runs.
 func (d *Director) resetOwned(owner peer.Addr, start uint32) {
 	for i := range d.shards {
 		s := &d.shards[i]
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// report takes in an agent's report. ended says that the agent's upstream has
-// started anew.
-func (m *members) report(now time.Duration, from peer.Addr, status peer.Status) (isNew, ended bool) {
+// report takes in an agent's report. It reports whether the agent is new, and
+// whether it may have a start of its upstream that was not known before.
+func (m *members) report(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d, ok := m.departed[from]; ok && status.Incarnation <= d.incarnation {
@@ -88,17 +88,17 @@
 	if ok && (status.Incarnation < old.Incarnation || status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence) {
 		return false, false
 	}
-	ended = ok && old.Upstream != "" && status.Upstream != "" && (old.Upstream != status.Upstream || old.Born != status.Born)
 	if status.Upstream == "" && old.Service == status.Service {
 		status.Upstream, status.Born = old.Upstream, old.Born
 	}
+	restarted = old.Upstream != status.Upstream || old.Born != status.Born || status.Empty && !old.Empty
 	a.status, a.heard, a.pending, a.leaving = status, now, 0, false
 	service := peer.Service(status.Service)
 	if a.service != service {
 		a.service = service
 		m.rebuild()
 	}
-	return !ok, ended
+	return !ok, restarted
 }
 
 func (m *members) goodbye(now time.Duration, from peer.Addr, returns bool) {
@@ -219,6 +219,18 @@
 	return 0
 }
 
+// start returns the start of an agent's upstream, 0 if it is not known, and
+// whether the agent has said that it has none.
+func (m *members) start(address peer.Addr) (start uint32, empty bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	a, ok := m.agents[address]
+	if !ok || a.status.Upstream == "" {
+		return 0, ok && a.status.Empty
+	}
+	return peer.StartOf(a.status.Upstream, a.status.Born), a.status.Empty
+}
+
 func (m *members) list() []peer.Addr {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/pkg/segment/segment.go
+++ b/pkg/segment/segment.go
@@ -131,3 +131,13 @@
 	f.vipPort = binary.BigEndian.Uint16(b[10:])
 	return f, nil
 }
+
+// MarshalBinary implements encoding.BinaryMarshaler.
+func (f Flow) MarshalBinary() ([]byte, error) { return f.Append(nil), nil }
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (f *Flow) UnmarshalBinary(b []byte) error {
+	decoded, err := DecodeFlow(b)
+	*f = decoded
+	return err
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -40,7 +40,8 @@
 			"entries":        onFleet((*fleetScenario).addEntries),
 			"route":          onFleet((*fleetScenario).route),
 			"drop":           onFleet((*fleetScenario).drop),
-			"callers":        onFleet((*fleetScenario).addCallers),
+			"callers":        onFleet(addCallers((*fleetsim.World).AddCallers)),
+			"bookings":       onFleet(addCallers((*fleetsim.World).AddBookings)),
 			"run":            onFleet((*fleetScenario).run),
 			"forget":         onFleet((*fleetScenario).forget),
 			"roll":           onFleet(eachEntry((*fleetsim.Entry).Roll)),
@@ -141,21 +142,23 @@
 }
 
 // addCallers takes a number, an address and an interval.
-func (s *fleetScenario) addCallers(args []string) error {
-	n, err := strconv.Atoi(args[0])
-	if err != nil {
-		return err
-	}
-	vip, err := netip.ParseAddrPort(args[1])
-	if err != nil {
-		return err
-	}
-	every, err := time.ParseDuration(args[2])
-	if err != nil {
-		return err
+func addCallers(add func(*fleetsim.World, int, netip.AddrPort, time.Duration)) fleetCommand {
+	return func(s *fleetScenario, args []string) error {
+		n, err := strconv.Atoi(args[0])
+		if err != nil {
+			return err
+		}
+		vip, err := netip.ParseAddrPort(args[1])
+		if err != nil {
+			return err
+		}
+		every, err := time.ParseDuration(args[2])
+		if err != nil {
+			return err
+		}
+		add(s.world, n, vip, every)
+		return nil
 	}
-	s.world.AddCallers(n, vip, every)
-	return nil
 }
 
 // run takes a duration.
