--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -77,7 +77,6 @@
 		{"upstream", func(context.Context) error { return a.receive(a.upstream, a.fromUpstream) }},
 		{"tick", every(tickEvery, func() { a.relay.Tick(a.now()) })},
 		{"report", a.hurried(a.hurry, reportEvery, a.report)},
-		{"register", a.register(agentPrefix)},
 		{"look", every(a.settings.Heartbeat/4, a.look)},
 		{"find entries", a.findEntries},
 		a.serve(a.settings.Control, a.control()),
--- /dev/null
+++ b/internal/fleet/agentlist.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/platform"
+)
+
+// listEvery bounds the writes of the list of agents.
+const listEvery = time.Second
+
+// listAgents keeps the list of agents in the store, so that an entry that
+// starts when no other is left knows whom to wait for before it takes a flow
+// for dead. One entry writes for all.
+func (e *Entry) listAgents(ctx context.Context) error {
+	var written []peer.Addr
+	return every(listEvery, func() {
+		if e.rank() != 0 || !e.director.Settled(e.now()) {
+			written = nil // another may write meanwhile
+			return
+		}
+		agents := e.director.Agents()
+		if slices.Equal(agents, written) {
+			return
+		}
+		if err := e.putAgents(ctx, agents); err != nil {
+			e.counts.add("store-errors")
+			e.log.Warn("list of agents not written", daemon.Err(err))
+			return
+		}
+		written = agents
+	})(ctx)
+}
+
+func (e *Entry) putAgents(ctx context.Context, agents []peer.Addr) error {
+	value, err := cbor.Marshal(agents)
+	if err != nil {
+		return errors.Wrap(err, "encode agents")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	e.counts.add("store-writes")
+	return e.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: agentsKey, Value: value}}})
+}
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -29,8 +29,17 @@
 	// verifyEvery is the interval at which some entry reads the configuration
 	// itself, as a watch may miss changes. A third of the tightest bound of 3 s.
 	verifyEvery = time.Second
-	// verifyAtMost bounds the checks that callers of unknown addresses cause.
-	verifyAtMost = 500 * time.Millisecond
+	// verifyStep and verifyRanks let an entry of a higher rank read only if
+	// those below have not, or have not told it.
+	verifyStep  = 400 * time.Millisecond
+	verifyRanks = 5
+	// greetingDelay is more than a greeting takes between entries.
+	greetingDelay = 50 * time.Millisecond
+	// watchers is how many entries watch for all, and watchTurn how often the
+	// others look whether it is their turn: one may be cut off unnoticed for
+	// 1.3 s.
+	watchers  = 2
+	watchTurn = 500 * time.Millisecond
 	// maxConfig bounds a configuration from another entry: the store's limit
 	// for a value, 1 MiB.
 	maxConfig = 1 << 20
@@ -45,7 +54,6 @@
 	*process
 	director *director.Director
 	client   *http.Client
-	wanted   chan struct{}
 	mu       sync.Mutex
 	raw      []byte
 	revision uint64
@@ -56,7 +64,7 @@
 }
 
 func newConfigSync(p *process, d *director.Director, changed func()) *configSync {
-	return &configSync{process: p, director: d, changed: changed, client: &http.Client{Timeout: storeTimeout}, wanted: make(chan struct{}, 1), holders: make(chan struct{}, 1)}
+	return &configSync{process: p, director: d, changed: changed, client: &http.Client{Timeout: storeTimeout}, holders: make(chan struct{}, 1)}
 }
 
 // apply puts an encoded configuration in force if it is newer.
@@ -104,10 +112,15 @@
 	return nil
 }
 
-// watch follows the configuration in the store until the context ends.
+// watch follows the configuration in the store until the context ends, if this
+// entry is one of those that watch for all.
 func (c *configSync) watch(ctx context.Context) error {
 	lost := false
 	for ctx.Err() == nil {
+		if c.director.Config() != nil && c.rank() >= watchers {
+			sleep(ctx, watchTurn)
+			continue
+		}
 		err := c.watchOnce(ctx)
 		switch {
 		case err == nil && lost:
@@ -152,41 +165,31 @@
 	return nil
 }
 
-// verifyLoop reads the configuration in turn with the other entries, and when
-// asked.
+// verifyLoop reads the configuration in turn with the other entries, as a watch
+// may miss changes.
 func (c *configSync) verifyLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		share := time.Duration(1 + len(c.entries.alive(c.now())))
-		timer := time.NewTimer(verifyEvery * share)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-c.wanted:
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return nil
+		sleep(ctx, verifyEvery)
+		turn, now := c.rank(), c.now()
+		ago, ok := c.director.VerifiedAgo(now)
+		if ok && ago < verifyEvery+time.Duration(min(turn, verifyRanks))*verifyStep {
+			continue
 		}
-		if err := c.read(ctx); err != nil {
+		if err := c.read(ctx); err != nil && ctx.Err() == nil {
 			c.counts.add("store-errors")
 		}
-		sleep(ctx, verifyAtMost)
 	}
 	return nil
 }
 
-// verifySoon asks for a check.
-func (c *configSync) verifySoon() {
-	select {
-	case c.wanted <- struct{}{}:
-	default:
+// peerHas takes in what another entry says of its configuration, and fetches it
+// if it is newer.
+func (c *configSync) peerHas(from peer.Addr, g peer.Greeting) {
+	config := c.director.Config()
+	if config != nil && config.Version() == g.ConfigVersion && g.VerifiedAgo >= 0 {
+		c.director.Verified(c.now() - time.Duration(g.VerifiedAgo)*time.Millisecond - greetingDelay)
 	}
-}
-
-// peerHas takes in the version that another entry has, and fetches it if it is
-// newer.
-func (c *configSync) peerHas(from peer.Addr, version uint64) {
-	if version == 0 || c.director.Config() != nil && c.director.Config().Version() >= version {
+	if g.ConfigVersion == 0 || config != nil && config.Version() >= g.ConfigVersion {
 		return
 	}
 	c.mu.Lock()
@@ -195,7 +198,7 @@
 		return
 	}
 	c.fetching = true
-	go c.fetch(from, version)
+	go c.fetch(from, g.ConfigVersion)
 }
 
 // fetch reads the configuration of another entry.
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -20,6 +20,9 @@
 const (
 	// greetAgentEvery is how often an entry answers an agent's reports.
 	greetAgentEvery = 2 * time.Second
+	// neverVerified says in a greeting that the configuration was never known
+	// to be the newest.
+	neverVerified = -1
 	// unsettledPause is the pause between reads of the registrations while
 	// some registered agents have not been heard.
 	unsettledPause = time.Second
@@ -41,6 +44,7 @@
 	lastTick time.Duration
 
 	registryRead bool // of the task that finds processes
+	greetings    int  // of the task that greets
 }
 
 // NewEntry opens the sockets of an entry.
@@ -54,7 +58,7 @@
 		return nil, err
 	}
 	e := &Entry{process: p, callers: conn, greetAt: make(map[peer.Addr]time.Duration)}
-	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime))
+	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithPlace(s.Place))
 	e.config = newConfigSync(p, e.director, e.greetAlive)
 	return e, nil
 }
@@ -70,12 +74,13 @@
 		{"peers", func(context.Context) error { return e.receive(e.peers, e.fromProcess) }},
 		{"tick", every(tickEvery, e.tick)},
 		{"greet", e.hurried(e.hurry, reportEvery, e.greet)},
-		{"register", e.register(entryPrefix)},
+		{"register", e.register},
 		{"find processes", e.findProcesses},
 		{"watch configuration", e.config.watch},
 		{"verify configuration", e.config.verifyLoop},
 		{"write holders", e.config.writeHolders},
 		{"remember flows", e.remember},
+		{"list agents", e.listAgents},
 		e.serve(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler()),
 		e.serve(e.settings.Ready, readyHandler(e.ready)),
 	}
@@ -84,7 +89,7 @@
 	}
 	ends := runAll(work, tasks)
 	e.log.Info("entry started")
-	e.message(peer.Hello, e.greeting(true), e.entries.known(e.now())...)
+	e.message(peer.Hello, e.greeting(true, true), e.entries.known(e.now())...)
 	var failure error
 	running := len(tasks)
 	select {
@@ -146,9 +151,6 @@
 		zap.Duration("age", d.Age), zap.Uint64("config", d.Version), zap.Int("tried", d.Tried))
 }
 
-// Verify implements director.Port.
-func (e *Entry) Verify() { e.config.verifySoon() }
-
 func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) error {
 	now := e.now()
 	e.lastPkt.Store(int64(now))
@@ -190,7 +192,7 @@
 	}
 	e.greetMu.Unlock()
 	if due {
-		e.message(peer.Hello, e.greeting(false), from)
+		e.message(peer.Hello, e.greeting(false, true), from)
 	}
 	return nil
 }
@@ -205,20 +207,20 @@
 		e.log.Info("entry heard", zap.Stringer("entry", from), zap.Uint64("config", g.ConfigVersion))
 	}
 	if fresh := e.entries.add(now, e.notSelf(g.Entries)...); len(fresh) > 0 {
-		e.message(peer.Hello, e.greeting(true), fresh...)
+		e.message(peer.Hello, e.greeting(true, true), fresh...)
 	}
 	if len(g.Agents) > 0 {
-		e.message(peer.Hello, e.greeting(false), g.Agents...)
+		e.message(peer.Hello, e.greeting(false, true), g.Agents...)
 	}
 	if g.Asks {
-		answer := e.greeting(false)
+		answer := e.greeting(false, true)
 		answer.Agents = e.director.Agents()
 		if len(answer.Agents) > agentsAtOnce {
 			answer.Agents = answer.Agents[:agentsAtOnce]
 		}
 		e.message(peer.Hello, answer, from)
 	}
-	e.config.peerHas(from, g.ConfigVersion)
+	e.config.peerHas(from, g)
 	return nil
 }
 
@@ -243,23 +245,36 @@
 	return nil
 }
 
-// greeting returns what the entry tells of itself.
-func (e *Entry) greeting(asks bool) peer.Greeting {
-	g := peer.Greeting{Incarnation: e.started.UnixMilli(), Entries: e.entries.alive(e.now()), Asks: asks,
-		Place: e.settings.Place, Ready: e.ready()}
+// greeting returns what the entry tells of itself. The entries that it knows
+// are left out of most greetings: they change rarely.
+func (e *Entry) greeting(asks, entries bool) peer.Greeting {
+	now := e.now()
+	g := peer.Greeting{
+		Incarnation: e.started.UnixMilli(), Asks: asks, Place: e.settings.Place, Ready: e.ready(), VerifiedAgo: neverVerified,
+	}
+	if entries {
+		g.Entries = e.entries.alive(now)
+	}
 	if c := e.director.Config(); c != nil {
 		g.ConfigVersion = c.Version()
 	}
+	if ago, ok := e.director.VerifiedAgo(now); ok {
+		g.VerifiedAgo = ago.Milliseconds()
+	}
 	return g
 }
 
+// greet greets the other entries, with all that are known at every eighth time.
 func (e *Entry) greet() {
 	asks := e.director.Config() == nil || !e.director.Reachable(e.now())
-	e.message(peer.Hello, e.greeting(asks), e.entries.known(e.now())...)
+	e.greetings++
+	e.message(peer.Hello, e.greeting(asks, asks || e.greetings%8 == 0), e.entries.known(e.now())...)
 }
 
 // greetAlive greets the entries that are alive.
-func (e *Entry) greetAlive() { e.message(peer.Hello, e.greeting(false), e.entries.alive(e.now())...) }
+func (e *Entry) greetAlive() {
+	e.message(peer.Hello, e.greeting(false, false), e.entries.alive(e.now())...)
+}
 
 func (e *Entry) tick() {
 	now := e.now()
@@ -300,9 +315,9 @@
 	}
 	e.director.Expect(r.agents)
 	fresh := e.entries.add(e.now(), e.notSelf(r.entries)...)
-	e.message(peer.Hello, e.greeting(true), fresh...)
+	e.message(peer.Hello, e.greeting(true, true), fresh...)
 	if first {
-		e.message(peer.Hello, e.greeting(false), r.agents...)
+		e.message(peer.Hello, e.greeting(false, true), r.agents...)
 	}
 	return nil
 }
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,7 +41,7 @@
 			return nil
 		case <-c.holders:
 		}
-		if c.writesForAll() {
+		if c.rank() == 0 {
 			if err := c.putHolders(ctx); err != nil {
 				c.log.Warn("holders not written", daemon.Err(err))
 				c.holdersChanged()
@@ -53,17 +52,6 @@
 	return nil
 }
 
-// writesForAll reports whether this entry has the lowest address of those that
-// are alive. Two that think so write the same.
-func (c *configSync) writesForAll() bool {
-	for _, a := range c.entries.alive(c.now()) {
-		if slices.Compare(a[:], c.self[:]) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *configSync) putHolders(ctx context.Context) error {
 	value, err := json.Marshal(c.director.Holders())
 	if err != nil {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// rank returns how many living entries have a lower address. What one entry
+// does for all is done by the lowest; two that both think so do the same.
+func (p *process) rank() int {
+	n := 0
+	for _, a := range p.entries.alive(p.now()) {
+		if slices.Compare(a[:], p.self[:]) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // now returns the time on the steady clock since the start of the process.
 func (p *process) now() time.Duration { return time.Since(p.started) }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -17,9 +18,9 @@
 const (
 	// registerFor is the lease of a registration. A process that has gone for
 	// good is expected for that long.
-	registerFor = 5 * time.Second
+	registerFor = 10 * time.Second
 	// renewEvery renews it with two tries to spare.
-	renewEvery = 1500 * time.Millisecond
+	renewEvery = 3 * time.Second
 	// renewAgain is the pause after a failed call, so that a registration that
 	// lapsed while the store was away is back within 2 s of its return.
 	renewAgain = 500 * time.Millisecond
@@ -29,7 +30,7 @@
 
 	storePrefix = "hickoryhook/"
 	entryPrefix = storePrefix + "entry/"
-	agentPrefix = storePrefix + "agent/"
+	agentsKey   = storePrefix + "agents"
 	holdersKey  = storePrefix + "holders"
 )
 
@@ -69,13 +70,15 @@
 		r.holders = item.Value
 		return
 	}
-	for prefix, list := range map[string]*[]peer.Addr{entryPrefix: &r.entries, agentPrefix: &r.agents} {
-		text, ok := strings.CutPrefix(item.Key, prefix)
-		if !ok {
-			continue
+	if item.Key == agentsKey {
+		if err := cbor.Unmarshal(item.Value, &r.agents); err != nil {
+			p.log.Error("list of agents not understood", daemon.Err(err))
 		}
+		return
+	}
+	if text, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
 		if a, err := netip.ParseAddr(text); err == nil && a.Is4() {
-			*list = append(*list, peer.NewAddr(a))
+			r.entries = append(r.entries, peer.NewAddr(a))
 			return
 		}
 	}
@@ -84,29 +87,27 @@
 
 // register keeps the process's registration in the store until the context
 // ends, and then removes it.
-func (p *process) register(prefix string) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		var lease uint64
-		lost := false
-		for ctx.Err() == nil {
-			var err error
-			lease, err = p.renew(ctx, prefix, lease)
-			if err != nil && !lost && ctx.Err() == nil {
-				p.log.Warn("registration not renewed", daemon.Err(err))
-			}
-			if err == nil && lost {
-				p.log.Info("registration renewed")
-			}
-			lost = err != nil
-			pause := renewEvery
-			if lost {
-				pause = renewAgain
-			}
-			sleep(ctx, pause)
+func (p *process) register(ctx context.Context) error {
+	var lease uint64
+	lost := false
+	for ctx.Err() == nil {
+		var err error
+		lease, err = p.renew(ctx, lease)
+		if err != nil && !lost && ctx.Err() == nil {
+			p.log.Warn("registration not renewed", daemon.Err(err))
+		}
+		if err == nil && lost {
+			p.log.Info("registration renewed")
+		}
+		lost = err != nil
+		pause := renewEvery
+		if lost {
+			pause = renewAgain
 		}
-		p.unregister(lease)
-		return nil
+		sleep(ctx, pause)
 	}
+	p.unregister(lease)
+	return nil
 }
 
 // unregister ends the lease of a registration.
@@ -122,7 +123,7 @@
 }
 
 // renew renews the lease, or registers anew if there is none.
-func (p *process) renew(ctx context.Context, prefix string, lease uint64) (uint64, error) {
+func (p *process) renew(ctx context.Context, lease uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if lease != 0 {
@@ -138,7 +139,7 @@
 		return 0, err
 	}
 	p.counts.add("store-writes")
-	write := platform.Write{Key: prefix + p.self.String(), Value: []byte(p.settings.Node), Lease: lease}
+	write := platform.Write{Key: entryPrefix + p.self.String(), Value: []byte(p.settings.Node), Lease: lease}
 	if err := p.store.Commit(ctx, platform.Txn{Writes: []platform.Write{write}}); err != nil {
 		return 0, err
 	}
--- a/internal/fleet/remembered.go
+++ b/internal/fleet/remembered.go
@@ -31,17 +31,17 @@
 	if err := e.recall(ctx); err != nil {
 		e.log.Warn("flows not recalled", daemon.Err(err))
 	}
-	written := false
+	var written []director.Remembered
 	return every(rememberEvery, func() {
 		flows := e.director.Remember(rememberFlows)
-		if len(flows) == 0 && !written {
+		if !director.WorthRemembering(written, flows) {
 			return
 		}
 		if err := e.putFlows(ctx, flows); err != nil {
 			e.counts.add("store-errors")
 			return
 		}
-		written = len(flows) > 0
+		written = flows
 	})(ctx)
 }
 
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -142,9 +142,6 @@
 	e.world.toCaller(flow, packet)
 }
 
-// Verify implements director.Port.
-func (e *Entry) Verify() { e.core.Verified(e.world.now()) }
-
 // Decided implements director.Port.
 func (e *Entry) Decided(d director.Decision) {
 	e.world.count(string(d.Event))
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -34,10 +34,10 @@
 	// packet of the flow starts another, that asks all agents at once. The
 	// walk past 32 agents takes 20 ms at 0.6 ms a hop.
 	searchPatience = 100 * time.Millisecond
-	// verifiedFor is how long after a check with the store the configuration
-	// counts as current, so that an unknown address may be refused. Below the
-	// shortest time in which a change must be in force.
-	verifiedFor = time.Second
+	// defaultVerified is how long after a check with the store the
+	// configuration counts as current, so that an unknown address may be
+	// refused: two thirds of the 3 s in which a change must be in force.
+	defaultVerified = 2 * time.Second
 	// defaultIdle and defaultLifetime apply until the configuration and the
 	// settings say otherwise.
 	defaultIdle     = 15 * time.Second
@@ -69,8 +69,6 @@
 		ToProcess(to peer.Addr, datagram []byte)
 		// ToCaller sends a packet to a caller.
 		ToCaller(flow segment.Flow, packet []byte)
-		// Verify asks for a check that the configuration is the newest.
-		Verify()
 		// Decided tells of a decision, for the log.
 		Decided(d Decision)
 	}
@@ -133,6 +131,10 @@
 	Option func(*Director)
 )
 
+// WithPlace sets the entry's failure domain. Upstreams of the same place are
+// preferred when they are not much busier.
+func WithPlace(place string) Option { return func(x *Director) { x.members.place = place } }
+
 // WithLifetime sets the age at which a flow is forgotten.
 func WithLifetime(d time.Duration) Option { return func(x *Director) { x.lifetime = d } }
 
@@ -173,7 +175,18 @@
 func (d *Director) Expect(agents []peer.Addr) { d.members.expect(agents) }
 
 // Verified takes in that the configuration was the newest at a time.
-func (d *Director) Verified(at time.Duration) { d.verified.Store(int64(at)) }
+func (d *Director) Verified(at time.Duration) {
+	if at > time.Duration(d.verified.Load()) {
+		d.verified.Store(int64(at))
+	}
+}
+
+// VerifiedAgo returns how long ago the configuration was last known to be the
+// newest, and false if it never was.
+func (d *Director) VerifiedAgo(now time.Duration) (time.Duration, bool) {
+	at := time.Duration(d.verified.Load())
+	return now - at, at != 0
+}
 
 // Config returns the configuration in force, nil before the first.
 func (d *Director) Config() *route.Config { return d.config.Load() }
@@ -208,8 +221,7 @@
 // unrouted handles a packet to an address that has no route.
 func (d *Director) unrouted(now time.Duration, s *shard, h segment.Head) {
 	if !d.current(now) {
-		d.port.Verify() // the caller's next copy finds the answer
-		return
+		return // the route may be newer than the configuration
 	}
 	rec := s.flows[h.Flow]
 	delete(s.flows, h.Flow)
@@ -226,7 +238,7 @@
 // current reports whether the configuration was checked a moment ago.
 func (d *Director) current(now time.Duration) bool {
 	at := time.Duration(d.verified.Load())
-	return at != 0 && now-at <= verifiedFor
+	return at != 0 && now-at <= defaultVerified
 }
 
 // opening handles a packet that asks for a new flow.
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -17,6 +17,9 @@
 	// forgetAfter is the silence after which an agent is taken as gone. A
 	// restart of the agent alone is over well before.
 	forgetAfter = 10 * time.Second
+	// settleAfter is how long after this process's start the living agents that
+	// know it have surely reported: an interval of reports and some slack.
+	settleAfter = 600 * time.Millisecond
 	// pauseAfter is a gap between ticks that shows that this process stood
 	// still. The shell ticks more often by a factor of two.
 	pauseAfter = time.Second
@@ -25,6 +28,14 @@
 	openingChoices = 5
 	// coldPenalty is how much slower a cold upstream is.
 	coldPenalty = 1.6
+	// nearWeight is how much likelier an agent of the entry's place is among
+	// the choices of a flow than another.
+	nearWeight = 3
+	// awayFactor and awayCost are what an upstream of another place must be
+	// less loaded by: a tenth and one flow for each three slots. A far way costs
+	// half a millisecond a packet and the bytes between places.
+	awayFactor = 1.1
+	awayCost   = 0.33
 	// runningWeight is how many open flows one running request counts as.
 	runningWeight = 4
 )
@@ -32,6 +43,7 @@
 type (
 	// members holds what is known of the agents.
 	members struct {
+		place     string // of this entry
 		mu        sync.RWMutex
 		agents    map[peer.Addr]*agent
 		byService map[peer.ServiceID][]*agent
@@ -167,7 +179,7 @@
 func (m *members) settled(now time.Duration) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if m.expected == nil || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
+	if m.expected == nil || now < settleAfter || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
 		return false
 	}
 	for address := range m.expected {
@@ -256,13 +268,13 @@
 	if len(able) == 0 {
 		return nil, 0, 0
 	}
-	byHash(able, hash)
+	m.byHash(able, hash)
 	choices := able[:min(openingChoices, len(able))]
-	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(a.load(now), b.load(now)) })
+	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(m.cost(now, a), m.cost(now, b)) })
 	first := choices[0]
 	load, age := first.load(now), now-first.heard
 	first.pending++
-	return addresses(able), load, age
+	return addresses(choices), load, age
 }
 
 // others returns the agents of a service that are not on a list and might take
@@ -289,10 +301,10 @@
 	var legs []leg
 	for _, silent := range []bool{false, true} {
 		for _, service := range services {
-			legs = appendLegs(legs, service, ableToHold(now, m.byService[service], silent), hash)
+			legs = m.appendLegs(legs, service, ableToHold(now, m.byService[service], silent), hash)
 		}
 		if !all {
-			legs = appendLegs(legs, 0, ableToHold(now, m.without(services), silent), hash)
+			legs = m.appendLegs(legs, 0, ableToHold(now, m.without(services), silent), hash)
 		}
 	}
 	return legs
@@ -341,8 +353,8 @@
 	return true
 }
 
-func appendLegs(legs []leg, service peer.ServiceID, agents []*agent, hash uint64) []leg {
-	byHash(agents, hash)
+func (m *members) appendLegs(legs []leg, service peer.ServiceID, agents []*agent, hash uint64) []leg {
+	m.byHash(agents, hash)
 	for part := range slices.Chunk(agents, peer.MaxCandidates) {
 		legs = append(legs, leg{service: service, agents: addresses(part)})
 	}
@@ -358,11 +370,27 @@
 	return out
 }
 
-// byHash sorts agents into the rendezvous order of a flow.
-func byHash(list []*agent, hash uint64) {
-	slices.SortFunc(list, func(a, b *agent) int {
-		return cmp.Compare(rendezvous.Hash(hash, b.address.ID()), rendezvous.Hash(hash, a.address.ID()))
-	})
+// byHash sorts agents into the rendezvous order of a flow, in which those of
+// the entry's place come first more often.
+func (m *members) byHash(list []*agent, hash uint64) {
+	score := func(a *agent) float64 {
+		weight := uint32(1)
+		if a.status.Place == m.place {
+			weight = nearWeight
+		}
+		return rendezvous.Score(hash, rendezvous.NewNode(a.address.ID(), weight))
+	}
+	slices.SortFunc(list, func(a, b *agent) int { return cmp.Compare(score(b), score(a)) })
+}
+
+// cost is an agent's load, and for one of another place what the way there
+// costs.
+func (m *members) cost(now time.Duration, a *agent) float64 {
+	load := a.load(now)
+	if a.status.Place == m.place {
+		return load
+	}
+	return load*awayFactor + awayCost
 }
 
 // load returns the agent's work for each slot of its upstream.
--- a/pkg/director/remembered.go
+++ b/pkg/director/remembered.go
@@ -18,13 +18,22 @@
 	Service      peer.ServiceID
 	Start        uint32 // of the owner's upstream
 	Acknowledged uint32
-	// Unrepeatable says that the flow's requests must not be repeated: a caller
-	// who learns only from its next request that the flow is gone loses it.
-	Unrepeatable bool
 }
 
-// Remember returns at most limit open flows, first those whose requests must
-// not be repeated, and of them those that were quiet for longest.
+const (
+	// resetWindow is how far a reset's sequence may lie from what the caller
+	// acknowledged last, and rememberedDrift how far it may move before the
+	// flow is written again: half of it. Unit: bytes.
+	resetWindow     = 76800
+	rememberedDrift = resetWindow / 2
+	// rememberedChange is the share of flows that may be missing or too many
+	// in what is written: one in rememberedChange.
+	rememberedChange = 12
+)
+
+// Remember returns at most limit open flows whose requests must not be
+// repeated, those that were quiet for longest first: a caller who learns only
+// from its next request that its flow is gone loses that request.
 func (d *Director) Remember(limit int) []Remembered {
 	type aged struct {
 		Remembered
@@ -32,30 +41,23 @@
 	}
 	var all []aged
 	config := d.config.Load()
+	if config == nil {
+		return nil
+	}
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
 		for flow, rec := range s.flows {
-			if !rec.open || rec.start == 0 {
+			if r, ok := config.Lookup(flow.VIP()); !rec.open || rec.start == 0 || !ok || r.Idempotent {
 				continue
 			}
-			r := Remembered{Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.start, Acknowledged: rec.acknowledged}
-			if config != nil {
-				if route, ok := config.Lookup(flow.VIP()); ok {
-					r.Unrepeatable = !route.Idempotent
-				}
-			}
-			all = append(all, aged{r, rec.seen})
+			all = append(all, aged{Remembered{
+				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.start, Acknowledged: rec.acknowledged,
+			}, rec.seen})
 		}
 		s.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b aged) int {
-		if a.Unrepeatable != b.Unrepeatable {
-			if a.Unrepeatable {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(cmp.Compare(a.seen, b.seen), cmp.Compare(a.Flow.Hash(), b.Flow.Hash()))
 	})
 	out := make([]Remembered, 0, min(limit, len(all)))
@@ -65,6 +67,25 @@
 	return out
 }
 
+// WorthRemembering reports whether flows differ enough from what was written
+// to be written again.
+func WorthRemembering(written, flows []Remembered) bool {
+	old := make(map[segment.Flow]Remembered, len(written))
+	for _, r := range written {
+		old[r.Flow] = r
+	}
+	changed := 0
+	for _, r := range flows {
+		before, ok := old[r.Flow]
+		delete(old, r.Flow)
+		if !ok || before.Owner != r.Owner || before.Start != r.Start || r.Acknowledged-before.Acknowledged > rememberedDrift {
+			changed++
+		}
+	}
+	changed += len(old)
+	return changed*rememberedChange > len(flows)
+}
+
 // Recall takes in what an earlier process remembered. A flow whose upstream has
 // started anew since is reset as soon as its agent has been heard.
 func (d *Director) Recall(now time.Duration, flows []Remembered) {
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -44,7 +44,11 @@
 		Incarnation int64 `cbor:"1,keyasint"`
 		// ConfigVersion is the newest configuration that the entry has.
 		ConfigVersion uint64 `cbor:"2,keyasint,omitempty"`
-		// Entries are the entries that the sender knows to be alive.
+		// VerifiedAgo is how many milliseconds before the greeting the sender's
+		// configuration was known to be the newest, -1 if it never was.
+		VerifiedAgo int64 `cbor:"8,keyasint"`
+		// Entries are the entries that the sender knows to be alive; left out
+		// while they do not change.
 		Entries []Addr `cbor:"3,keyasint,omitempty"`
 		// Agents are the agents that the sender knows to be alive; filled in
 		// answers only.
--- a/pkg/rendezvous/table.go
+++ b/pkg/rendezvous/table.go
@@ -171,6 +171,9 @@
 	return -weight / math.Log(u)
 }
 
+// Score returns the weighted score of a node for a key; the highest comes first.
+func Score(key uint64, n Node) float64 { return score(Hash(key, n.id), float64(n.weight)) }
+
 // Hash returns the unweighted hash of a key and a member. It depends on no
 // view, so two nodes with different members still agree on it.
 func Hash(key, id uint64) uint64 {
