--- a/pkg/director/remembered.go
+++ b/pkg/director/remembered.go
@@ -31,13 +31,14 @@
 	rememberedChange = 12
 )
 
-// Remember returns at most limit open flows whose requests must not be
-// repeated, those that were quiet for longest first: a caller who learns only
-// from its next request that its flow is gone loses that request.
+// Remember returns at most limit open flows. Those whose requests must not be
+// repeated come first: a caller who learns only from its next request that its
+// flow is gone loses that request. Then those that were quiet for longest.
 func (d *Director) Remember(limit int) []Remembered {
 	type aged struct {
 		Remembered
-		seen time.Duration
+		seen  time.Duration
+		class int // 0: requests must not be repeated
 	}
 	var all []aged
 	config := d.config.Load()
@@ -48,17 +49,22 @@
 		s := &d.shards[i]
 		s.mu.Lock()
 		for flow, rec := range s.flows {
-			if r, ok := config.Lookup(flow.VIP()); !rec.open || rec.start == 0 || !ok || r.Idempotent {
+			r, ok := config.Lookup(flow.VIP())
+			if !rec.open || rec.start == 0 || !ok {
 				continue
 			}
+			class := 0
+			if r.Idempotent {
+				class = 1
+			}
 			all = append(all, aged{Remembered{
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.start, Acknowledged: rec.acknowledged,
-			}, rec.seen})
+			}, rec.seen, class})
 		}
 		s.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b aged) int {
-		return cmp.Or(cmp.Compare(a.seen, b.seen), cmp.Compare(a.Flow.Hash(), b.Flow.Hash()))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.seen, b.seen), cmp.Compare(a.Flow.Hash(), b.Flow.Hash()))
 	})
 	out := make([]Remembered, 0, min(limit, len(all)))
 	for _, a := range all[:min(limit, len(all))] {
