--- /dev/null
+++ b/internal/kvstandin/store.go
@@ -0,0 +1,383 @@
+// Package kvstandin is a small stand-in of the platform's store: revisions,
+// conditions, leases, watches, history that can be dropped, and faults. It is
+// served over HTTP, for tests of the store's client and of what rests on it.
+//
+// # Usage
+//
+//	store := kvstandin.New(kvstandin.WithClock(clock))
+//	server := httptest.NewServer(store)
+//	store.Fail(kvstandin.LoseAnswers)
+package kvstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The faults of a store.
+const (
+	// Healthy answers.
+	Healthy Fault = iota
+	// Busy refuses each call with 503 and does nothing.
+	Busy
+	// Limited refuses each call with 429 and does nothing.
+	Limited
+	// ResetConnections cuts each call before it is run.
+	ResetConnections
+	// LoseAnswers runs each call and cuts the connection before the answer.
+	LoseAnswers
+	// Silent neither runs calls nor answers until the caller gives up.
+	Silent
+)
+
+const firstRevision = 100
+
+type (
+	// Fault is how the store misbehaves.
+	Fault int
+
+	// Store holds keys in memory.
+	Store struct {
+		mu       sync.Mutex
+		clock    func() time.Time
+		page     int
+		revision uint64
+		kept     uint64 // events after this revision are kept
+		items    map[string]item
+		events   []item
+		leases   map[uint64]*lease
+		changed  chan struct{}
+		fault    Fault
+		calls    map[string]int
+	}
+
+	// Option changes what New returns.
+	Option func(*Store)
+
+	item struct {
+		Key      string `json:"key"`
+		Value    []byte `json:"value,omitempty"`
+		Revision uint64 `json:"rev"`
+		Created  uint64 `json:"created,omitempty"`
+		Lease    uint64 `json:"lease"`
+		Deleted  bool   `json:"deleted,omitempty"`
+		AsOf     uint64 `json:"as-of,omitempty"`
+	}
+
+	lease struct {
+		ttl  time.Duration
+		ends time.Time
+	}
+
+	txn struct {
+		Expected []struct {
+			Key string `json:"key"`
+			Rev uint64 `json:"rev"`
+		} `json:"expected"`
+		Writes []item   `json:"writes"`
+		Remove []string `json:"remove"`
+	}
+)
+
+// WithClock sets the clock of leases.
+func WithClock(now func() time.Time) Option { return func(s *Store) { s.clock = now } }
+
+// WithPage sets how many items a page of a range holds.
+func WithPage(n int) Option { return func(s *Store) { s.page = n } }
+
+// New returns an empty store.
+func New(options ...Option) *Store {
+	s := &Store{
+		clock: time.Now, page: 500, revision: firstRevision, items: make(map[string]item),
+		leases: make(map[uint64]*lease), changed: make(chan struct{}), calls: make(map[string]int),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Fail makes the store misbehave.
+func (s *Store) Fail(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Compact drops the history: watches from before now answer 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept, s.events = s.revision, nil
+}
+
+// Set writes a key as the operator or another writer does.
+func (s *Store) Set(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(item{Key: key, Value: value})
+}
+
+// Get returns a key's value.
+func (s *Store) Get(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	it, ok := s.items[key]
+	return it.Value, ok
+}
+
+// Calls returns how often each call was made, refused ones included.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.calls))
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	s.mu.Lock()
+	s.calls[name]++
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Limited:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case ResetConnections:
+		panic(http.ErrAbortHandler)
+	case Silent:
+		<-r.Context().Done()
+		return
+	}
+	status, body := s.answer(name, rest, r)
+	if fault == LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body) // the caller may have gone
+	}
+}
+
+func (s *Store) answer(name, rest string, r *http.Request) (int, any) {
+	switch r.Method + " " + name {
+	case "GET kv-key":
+		return s.get(r.URL.Query().Get("key"))
+	case "GET kv-range":
+		return s.list(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	case "GET kv-watch":
+		return s.watch(r)
+	case "POST kv-txn":
+		var t txn
+		if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+			return http.StatusBadRequest, nil
+		}
+		return s.commit(t)
+	case "POST kv-lease":
+		return s.grant(r)
+	case "POST kv-keep":
+		return s.keep(rest)
+	case "DELETE kv-lease-end":
+		return s.end(rest)
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) get(key string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	it, ok := s.items[key]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	it.AsOf = s.revision
+	return http.StatusOK, it
+}
+
+func (s *Store) list(prefix, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	more := len(keys) > s.page
+	items := []item{}
+	for _, k := range keys[:min(len(keys), s.page)] {
+		items = append(items, s.items[k])
+	}
+	return http.StatusOK, map[string]any{"items": items, "has-more": more, "as-of": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	wait, err := strconv.Atoi(q.Get("wait-ms"))
+	if err != nil || wait > 30000 {
+		return http.StatusBadRequest, nil
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.kept {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := []item{}
+		for _, e := range s.events {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		asOf, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "as-of": asOf}
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return http.StatusOK, map[string]any{"events": events, "as-of": asOf}
+		case <-r.Context().Done():
+			return http.StatusOK, nil
+		}
+	}
+}
+
+func (s *Store) commit(t txn) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var current []item
+	holds := true
+	for _, e := range t.Expected {
+		it, ok := s.items[e.Key]
+		if ok {
+			current = append(current, it)
+		}
+		holds = holds && it.Revision == e.Rev
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, w := range t.Writes {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return http.StatusNotFound, nil
+		}
+	}
+	s.revision++
+	for _, w := range t.Writes {
+		s.put(w)
+	}
+	for _, k := range t.Remove {
+		s.remove(k)
+	}
+	return http.StatusOK, map[string]any{"rev": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var in struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	ttl := time.Duration(in.TTL) * time.Millisecond
+	s.leases[s.revision] = &lease{ttl: ttl, ends: s.clock().Add(ttl)}
+	return http.StatusOK, map[string]any{"lease": s.revision, "ttl-ms": in.TTL}
+}
+
+func (s *Store) keep(id string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	n, err := strconv.ParseUint(id, 10, 64)
+	l, ok := s.leases[n]
+	if err != nil || !ok {
+		return http.StatusNotFound, nil
+	}
+	l.ends = s.clock().Add(l.ttl)
+	return http.StatusOK, map[string]any{"ttl-ms": l.ttl.Milliseconds()}
+}
+
+func (s *Store) end(id string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := strconv.ParseUint(id, 10, 64)
+	if _, ok := s.leases[n]; err != nil || !ok {
+		return http.StatusNotFound, nil
+	}
+	s.endLease(n)
+	return http.StatusOK, nil
+}
+
+// expire ends the leases whose time is over.
+func (s *Store) expire() {
+	now := s.clock()
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for k, it := range s.items {
+		if it.Lease == id {
+			s.revision++
+			s.remove(k)
+		}
+	}
+}
+
+func (s *Store) put(it item) {
+	old, ok := s.items[it.Key]
+	it.Revision, it.Created = s.revision, s.revision
+	if ok {
+		it.Created = old.Created
+	}
+	s.items[it.Key] = it
+	s.note(it)
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.note(item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) note(it item) {
+	s.events = append(s.events, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
