--- a/internal/daemon/stdout.go
+++ b/internal/daemon/stdout.go
@@ -25,6 +25,7 @@
 type Lines struct {
 	queue   chan []byte
 	dropped atomic.Int64
+	sampled atomic.Int64
 	done    chan error
 }
 
@@ -52,6 +53,9 @@
 // Dropped returns how many lines found the queue full.
 func (l *Lines) Dropped() int64 { return l.dropped.Load() }
 
+// Sampled returns how many lines were left out because too many were alike.
+func (l *Lines) Sampled() int64 { return l.sampled.Load() }
+
 // Done delivers the end of the writer.
 func (l *Lines) Done() <-chan error { return l.done }
 
@@ -88,13 +92,18 @@
 }
 
 // NewLineLogger returns a logger of JSON lines. Lines with the same message are
-// sampled like those of NewLogger.
+// sampled like those of NewLogger, and those left out are counted in lines.
 func NewLineLogger(lines *Lines) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoding.EncodeDuration = zapcore.MillisDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), lines, zapcore.InfoLevel)
-	return zap.New(zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, logThereafter))
+	return zap.New(zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, logThereafter,
+		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+			if d&zapcore.LogDropped != 0 {
+				lines.sampled.Add(1)
+			}
+		})))
 }
 
 // Err is the field of an error without the stack that zap adds; nil adds none.
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -79,6 +79,10 @@
 		{"report", a.hurried(a.hurry, reportEvery, a.report)},
 		{"look", every(a.settings.Heartbeat/4, a.look)},
 		{"find entries", a.findEntries},
+		a.publish(map[string]func() any{
+			"status": func() any { return a.relay.Status(a.now()) },
+			"flows":  func() any { held, _ := a.relay.Flows(); return held },
+		}),
 		a.serve(a.settings.Control, a.control()),
 		a.serve(a.settings.Ready, readyHandler(func() bool { return true })),
 	}
@@ -125,6 +129,9 @@
 // ToUpstream implements relay.Port.
 func (a *Agent) ToUpstream(packet []byte) { a.write(a.upstream, a.settings.ToUpstream, packet) }
 
+// Measured implements relay.Port.
+func (a *Agent) Measured(m relay.Measure, d time.Duration) { a.counts.measure(string(m), d) }
+
 // Decided implements relay.Port.
 func (a *Agent) Decided(event relay.Event, flow segment.Flow, f *peer.Frame) {
 	a.counts.add(string(event))
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -82,6 +82,13 @@
 		{"remember flows", e.remember},
 		{"list agents", e.listAgents},
 		e.serve(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler()),
+		e.publish(map[string]func() any{
+			"agents":         func() any { return e.director.Status(e.now()) },
+			"config-version": e.configVersion,
+			"flows":          func() any { return e.director.Flows() },
+			"ready":          func() any { return e.ready() },
+			"settled":        func() any { return e.director.Settled(e.now()) },
+		}),
 		e.serve(e.settings.Ready, readyHandler(e.ready)),
 	}
 	if e.settings.Control.IsValid() {
@@ -144,6 +151,9 @@
 	return out
 }
 
+// Measured implements director.Port.
+func (e *Entry) Measured(m director.Measure, d time.Duration) { e.counts.measure(string(m), d) }
+
 // Decided implements director.Port.
 func (e *Entry) Decided(d director.Decision) {
 	e.counts.add(string(d.Event))
@@ -271,6 +281,13 @@
 	e.message(peer.Hello, e.greeting(asks, asks || e.greetings%8 == 0), e.entries.known(e.now())...)
 }
 
+func (e *Entry) configVersion() any {
+	if c := e.director.Config(); c != nil {
+		return c.Version()
+	}
+	return nil
+}
+
 // greetAlive greets the entries that are alive.
 func (e *Entry) greetAlive() {
 	e.message(peer.Hello, e.greeting(false, false), e.entries.alive(e.now())...)
--- /dev/null
+++ b/internal/fleet/metrics.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// The histograms hold latencies from 1 µs to 30 s, the longest deadline of
+	// a caller, with two significant digits; one takes 30 KB.
+	shortestLatency = 1
+	longestLatency  = 30_000_000
+	latencyDigits   = 2
+
+	// MetricsPort is the port on which a process of the platform serves its
+	// metrics, at /debug/vars; deploy/system.toml names it, too.
+	MetricsPort = 9402
+)
+
+type (
+	// metrics counts events and keeps latencies by name. The zero value is
+	// ready to use.
+	metrics struct {
+		mu        sync.Mutex
+		counts    map[string]int64
+		latencies map[string]*hdrhistogram.Histogram
+	}
+
+	// latency summarizes a histogram. Unit: microseconds.
+	latency struct {
+		Count int64 `json:"count"`
+		P50   int64 `json:"p50-us"`
+		P90   int64 `json:"p90-us"`
+		P99   int64 `json:"p99-us"`
+		Max   int64 `json:"max-us"`
+	}
+)
+
+// add counts an event.
+func (m *metrics) add(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts == nil {
+		m.counts = make(map[string]int64)
+	}
+	m.counts[name]++
+}
+
+// measure takes in a latency.
+func (m *metrics) measure(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.latencies[name]
+	if h == nil {
+		if m.latencies == nil {
+			m.latencies = make(map[string]*hdrhistogram.Histogram)
+		}
+		h = hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)
+		m.latencies[name] = h
+	}
+	us := min(max(d.Microseconds(), shortestLatency), longestLatency)
+	if err := h.RecordValue(us); err != nil {
+		panic(err) // out of range, which min and max exclude
+	}
+}
+
+// countsSnapshot returns the counts.
+func (m *metrics) countsSnapshot() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]int64, len(m.counts))
+	for k, v := range m.counts {
+		out[k] = v
+	}
+	return out
+}
+
+// latenciesSnapshot returns summaries of the histograms.
+func (m *metrics) latenciesSnapshot() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]latency, len(m.latencies))
+	for name, h := range m.latencies {
+		out[name] = latency{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99), Max: h.Max(),
+		}
+	}
+	return out
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -62,7 +62,7 @@
 		store    *platform.Store
 		entries  *entrySet
 		codec    platform.Packets
-		counts   counters
+		counts   metrics
 	}
 
 	// entrySet holds the entries that a process knows.
@@ -241,6 +241,25 @@
 	}
 }
 
+// publish serves the process's metrics until the context ends.
+func (p *process) publish(gauges map[string]func() any) task {
+	return task{name: "metrics", run: func(ctx context.Context) error {
+		server, err := daemon.NewMetrics(netip.AddrPortFrom(p.settings.Address, MetricsPort))
+		if err != nil {
+			return err
+		}
+		server.Set("counts", p.counts.countsSnapshot)
+		server.Set("latencies", p.counts.latenciesSnapshot)
+		server.Set("uptime-ms", func() any { return p.now().Milliseconds() })
+		for name, f := range gauges {
+			server.Set(name, f)
+		}
+		server.Start(ctx)
+		<-ctx.Done()
+		return server.Close()
+	}}
+}
+
 // runAll starts tasks and returns a channel on which each reports its end.
 func runAll(ctx context.Context, tasks []task) <-chan error {
 	ends := make(chan error, len(tasks))
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -142,6 +142,9 @@
 	e.world.toCaller(flow, packet)
 }
 
+// Measured implements director.Port.
+func (e *Entry) Measured(director.Measure, time.Duration) {}
+
 // Decided implements director.Port.
 func (e *Entry) Decided(d director.Decision) {
 	e.world.count(string(d.Event))
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -236,6 +236,9 @@
 	}
 }
 
+// Measured implements relay.Port.
+func (i *Instance) Measured(relay.Measure, time.Duration) {}
+
 // Decided implements relay.Port.
 func (i *Instance) Decided(event relay.Event, flow segment.Flow, _ *peer.Frame) {
 	i.world.count("agent-" + string(event))
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -49,7 +49,11 @@
 		rec = &record{created: now}
 		s.flows[o.Flow] = rec
 	}
+	if !rec.searching && !rec.open {
+		d.port.Measured(Opening, now-rec.created)
+	}
 	if rec.searching {
+		d.port.Measured(Searching, now-rec.searchedAt)
 		d.port.Decided(Decision{Event: Found, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
 	rec.owner, rec.start, rec.open, rec.searching = from, o.Start, true, false
@@ -202,6 +206,9 @@
 	return n
 }
 
+// Status returns what is known of each agent, for operators.
+func (d *Director) Status(now time.Duration) []AgentStatus { return d.members.statuses(now) }
+
 // Agents returns the agents that are believed alive.
 func (d *Director) Agents() []peer.Addr { return d.members.list() }
 
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -62,6 +62,15 @@
 	Malformed    Event = "malformed"
 )
 
+// The latencies that a director measures.
+const (
+	// Opening is the time from a caller's opening packet to the agent's word
+	// that its upstream has accepted it.
+	Opening Measure = "opening"
+	// Searching is the time until a flow's owner was found.
+	Searching Measure = "searching"
+)
+
 type (
 	// Port is where a director's packets leave.
 	Port interface {
@@ -69,6 +78,8 @@
 		ToProcess(to peer.Addr, datagram []byte)
 		// ToCaller sends a packet to a caller.
 		ToCaller(flow segment.Flow, packet []byte)
+		// Measured tells of a latency, for the metrics.
+		Measured(m Measure, d time.Duration)
 		// Decided tells of a decision, for the log.
 		Decided(d Decision)
 	}
@@ -76,6 +87,9 @@
 	// Event names a decision.
 	Event string
 
+	// Measure names a latency.
+	Measure string
+
 	// Decision is one decision and what it rested on.
 	Decision struct {
 		Event Event
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -59,6 +59,20 @@
 		at          time.Duration
 	}
 
+	// AgentStatus is what an entry knows of an agent, for operators.
+	AgentStatus struct {
+		Agent    string `json:"agent"`
+		Service  string `json:"service"`
+		Upstream string `json:"upstream"`
+		Place    string `json:"place"`
+		Taking   bool   `json:"taking"`
+		Flows    int    `json:"flows"`
+		Running  int    `json:"running"`
+		Slots    int    `json:"slots"`
+		// AgeMS is the age of the agent's last report in milliseconds.
+		AgeMS int64 `json:"age-ms"`
+	}
+
 	// leg is a part of a search: agents to ask one after the other.
 	leg struct {
 		service peer.ServiceID // 0: answer from memory alone
@@ -231,6 +245,22 @@
 	return 0
 }
 
+// statuses returns what is known of each agent, ordered by address.
+func (m *members) statuses(now time.Duration) []AgentStatus {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]AgentStatus, 0, len(m.agents))
+	for _, a := range m.agents {
+		out = append(out, AgentStatus{
+			Agent: a.address.String(), Service: a.status.Service, Upstream: a.status.Upstream, Place: a.status.Place,
+			Taking: a.status.Taking, Flows: a.status.Flows, Running: a.status.Running, Slots: a.status.Slots,
+			AgeMS: (now - a.heard).Milliseconds(),
+		})
+	}
+	slices.SortFunc(out, func(a, b AgentStatus) int { return cmp.Compare(a.Agent, b.Agent) })
+	return out
+}
+
 // start returns the start of an agent's upstream, 0 if it is not known, and
 // whether the agent has said that it has none.
 func (m *members) start(address peer.Addr) (start uint32, empty bool) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -55,6 +55,8 @@
 		ToCaller(flow segment.Flow, packet []byte)
 		// ToProcess sends a datagram to another process.
 		ToProcess(to peer.Addr, datagram []byte)
+		// Measured tells of a latency, for the metrics.
+		Measured(m Measure, d time.Duration)
 		// Decided tells of a decision, for the log.
 		Decided(event Event, flow segment.Flow, frame *peer.Frame)
 	}
@@ -62,6 +64,9 @@
 	// Event names a decision.
 	Event string
 
+	// Measure names a latency.
+	Measure string
+
 	// Upstream is what an upstream said of itself last.
 	Upstream struct {
 		ID       string
@@ -109,6 +114,7 @@
 		upstreamDone bool
 		entry        peer.Addr
 		seen         time.Duration
+		since        time.Duration // when the upstream got what it has not answered
 	}
 
 	// context is what is needed when the upstream returns a packet.
@@ -138,6 +144,14 @@
 	UnknownBack Event = "returned-without-context"
 )
 
+// The latencies that a relay measures.
+const (
+	// Accepting is the time from an offered opening to the upstream's answer.
+	Accepting Measure = "accepting"
+	// Answering is the time from a caller's data to the upstream's first data.
+	Answering Measure = "answering"
+)
+
 // WithLifetime sets the age without packets at which a flow is forgotten.
 func WithLifetime(d time.Duration) Option { return func(r *Relay) { r.lifetime = d } }
 
@@ -192,7 +206,7 @@
 		s = &state{}
 		r.flows[h.Flow] = s
 	}
-	*s = state{entry: f.Entry}
+	*s = state{entry: f.Entry, since: now}
 	r.port.Decided(Taken, h.Flow, f)
 	r.deliver(now, f, h, s)
 }
@@ -221,7 +235,7 @@
 		return
 	}
 	if s == nil && f.Service == r.service {
-		s = &state{} // until the upstream answers the packet or returns it
+		s = &state{since: now} // until the upstream answers the packet or returns it
 		r.flows[h.Flow] = s
 		r.deliver(now, f, h, s)
 		return
@@ -260,7 +274,8 @@
 	if h.Has(segment.Ack) {
 		s.acknowledged = h.Acknowledged
 	}
-	if h.Length > 0 && s.phase == accepted {
+	if h.Length > 0 && s.phase == accepted && !s.running {
+		s.since = now
 		r.setRunning(s, true)
 	}
 	if h.Has(segment.Fin) {
@@ -350,9 +365,11 @@
 	if s.phase == offered {
 		s.phase = accepted
 		r.open++
+		r.port.Measured(Accepting, now-s.since)
 		r.announce(h.Flow, s, s.entry)
 	}
-	if h.Length > 0 {
+	if h.Length > 0 && s.running {
+		r.port.Measured(Answering, now-s.since)
 		r.setRunning(s, false)
 	}
 	if h.Has(segment.Fin) {
