--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -119,7 +119,7 @@
 func (e *Entry) leave() {
 	told := e.now()
 	e.log.Info("entry stops", zap.Int("flows", e.director.Flows()))
-	for !mayLeave(e.now(), e.now()-told, e.settings.Grace, e.entries.neighbours(e.settings.Place)) {
+	for !mayLeave(e.now(), e.now()-told, e.entries.neighbours(e.settings.Place)) {
 		time.Sleep(tickEvery)
 	}
 	begin := e.now()
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -17,6 +17,9 @@
 	// absentFor is how long an entry that has gone is waited for: it needs 2.5 s
 	// to stop, start and be ready.
 	absentFor = 4 * time.Second
+	// waitAtMost is how long an entry that was told to stop may stay ready. The
+	// routers must have let go 4 s after that, which takes them up to 1 s.
+	waitAtMost = 2 * time.Second
 )
 
 // neighbour is another entry of the same place.
@@ -27,21 +30,21 @@
 }
 
 // mayLeave decides whether an entry that has been told to stop may say that it
-// is not ready. While a neighbour is away it waits: with less than half of a
-// place's entries ready the routers send to all of them, also to those that
+// is not ready. It waits while too many neighbours are away: with less than half
+// of a place's entries ready the routers send to all of them, also to those that
 // have ended. waited is the time since it was told to stop.
-func mayLeave(now, waited, grace time.Duration, neighbours []neighbour) bool {
-	if waited >= grace-leaveAfter-quietFor-leaveMargin {
+func mayLeave(now, waited time.Duration, neighbours []neighbour) bool {
+	if waited >= waitAtMost {
 		return true
 	}
+	ready, away := 0, 0
 	for _, n := range neighbours {
-		away := !n.ready || now-n.heard > entryLost
-		if away && now-n.heard <= absentFor {
-			return false
-		}
-		if !away && n.readySince > 0 && now-n.readySince < noticed {
-			return false
+		switch {
+		case n.ready && now-n.heard <= entryLost && (n.readySince == 0 || now-n.readySince >= noticed):
+			ready++
+		case now-n.heard <= absentFor:
+			away++
 		}
 	}
-	return true
+	return away == 0 || 2*ready >= 1+ready+away
 }
