--- a/internal/fleetsim/caller.go
+++ b/internal/fleetsim/caller.go
@@ -153,6 +153,10 @@
 		c.ack += uint32(h.Length)
 		c.seq += requestBytes
 		c.state = open
+		if h.Length == shedBytes {
+			w.count("refused")
+			return
+		}
 		w.count("served")
 		if w.now()-c.asked > resendAfter {
 			w.count("late")
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -11,20 +11,19 @@
 
 // Instance is an upstream's instance: the upstream and the agent beside it.
 type Instance struct {
-	world      *World
-	address    peer.Addr
-	service    string
-	slots      int
-	relay      *relay.Relay
-	life       int
-	agentUp    bool
-	dark       bool // without power or cut off
-	removed    bool
-	sequence   uint64
-	began      time.Duration // of the agent
-	lastUp     time.Duration // when the agent was last up, for its registration
-	upstream   *upstream
-	drainAcked time.Duration
+	world    *World
+	address  peer.Addr
+	service  string
+	slots    int
+	relay    *relay.Relay
+	life     int
+	agentUp  bool
+	dark     bool // without power or cut off
+	removed  bool
+	sequence uint64
+	began    time.Duration // of the agent
+	lastUp   time.Duration // when the agent was last up, for its registration
+	upstream *upstream
 }
 
 func (w *World) addInstance(service string, slots int) *Instance {
@@ -118,8 +117,8 @@
 	changed := i.relay.Heartbeat(i.world.now(), relay.Upstream{
 		ID: u.id, Born: u.born, Sequence: u.beats, Slots: i.slots, Draining: u.draining,
 	})
-	if u.draining && i.drainAcked == 0 {
-		i.drainAcked = i.world.now()
+	if u.draining && u.drainAcked == 0 {
+		u.drainAcked = i.world.now()
 	}
 	if changed {
 		i.report()
@@ -129,13 +128,14 @@
 // Drain makes the upstream leave: it drains, ends after the given time, and
 // its instance is taken away.
 func (i *Instance) Drain(after time.Duration) {
-	if i.upstream == nil {
+	u := i.upstream
+	if u == nil {
 		return
 	}
-	i.upstream.draining = true
+	u.draining = true
 	i.beat()
 	i.world.After(after, func() {
-		if i.upstream == nil {
+		if i.upstream != u {
 			return
 		}
 		i.relay.Leave(i.world.now(), i.upstream.id)
--- /dev/null
+++ b/internal/fleetsim/random_test.go
@@ -0,0 +1,33 @@
+package fleetsim_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/internal/fleetsim"
+)
+
+// randomSeeds is how many random runs each test run plays.
+const randomSeeds = 40
+
+// TestPromisesUnderRandomDisturbances plays fixed seeds; `hickoryhook bench
+// fleet` plays others.
+func TestPromisesUnderRandomDisturbances(t *testing.T) {
+	for seed := uint64(1); seed <= randomSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := fleetsim.RunRandom(seed)
+			for _, promise := range fleetsim.Promises() {
+				if r.Counts[promise] != 0 {
+					t.Errorf("%s is %d after\n%s\n%v", promise, r.Counts[promise], strings.Join(r.Steps, "\n"), r.Counts)
+				}
+			}
+			is.Equal(r.LostAfter, 0) // nothing is lost once all has settled
+			is.True(r.Counts["served"] > 1000)
+		})
+	}
+}
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -12,6 +12,9 @@
 	meanWork = 15 * time.Millisecond
 	// queued is how many requests wait for a slot before others are shed.
 	queued = 20
+	// answerBytes and shedBytes are the sizes of an answer and of a refusal.
+	answerBytes = 100
+	shedBytes   = 10
 )
 
 type (
@@ -22,9 +25,11 @@
 		born     int64
 		beats    uint64
 		draining bool
-		flows    map[segment.Flow]*served
-		running  int
-		waiting  []func()
+		// drainAcked is when the agent acknowledged it, 0 if it has not.
+		drainAcked time.Duration
+		flows      map[segment.Flow]*served
+		running    int
+		waiting    []func()
 	}
 
 	// served is a flow at an upstream.
@@ -85,7 +90,7 @@
 	if !w.allowed[h.Flow.VIP()][u.instance.service] {
 		w.count("misrouted")
 	}
-	if at := u.instance.drainAcked; at > 0 && w.now()-at > 100*time.Millisecond {
+	if at := u.drainAcked; at > 0 && w.now()-at > 100*time.Millisecond {
 		w.count("opened-while-draining")
 	}
 	f := u.flows[h.Flow]
@@ -112,6 +117,10 @@
 	}
 	if len(u.waiting) >= queued {
 		w.count("shed")
+		f.busy = false
+		f.last = packet(flow, true, segment.Ack, f.next, f.want, shedBytes)
+		f.next += shedBytes
+		u.send(f.last)
 		return
 	}
 	u.waiting = append(u.waiting, run)
@@ -127,8 +136,8 @@
 	if u.draining {
 		flags |= segment.Fin
 	}
-	f.last = packet(flow, true, flags, f.next, f.want, 100)
-	f.next += 100
+	f.last = packet(flow, true, flags, f.next, f.want, answerBytes)
+	f.next += answerBytes
 	u.send(f.last)
 	if u.draining {
 		delete(u.flows, flow)
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
@@ -161,7 +163,9 @@
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
-		for flow, rec := range s.flows {
+		// The fixed order keeps what follows repeatable.
+		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
+			rec := s.flows[flow]
 			if rec.owner != owner || rec.start == 0 || rec.start == start {
 				continue
 			}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -35,6 +35,9 @@
 	// maxAcknowledged is how far an acknowledgement may lie from the
 	// upstream's first sequence number: 16 MiB, 200 of the largest answers.
 	maxAcknowledged = 16 << 20
+	// runningFor is how long a request without an answer counts as running:
+	// more than the longest deadline of a caller, 6 s.
+	runningFor = 10 * time.Second
 	// resetAfterLeave is how long after its last call an upstream has surely
 	// stopped. It exits at once; this covers late timers.
 	resetAfterLeave = 150 * time.Millisecond
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
 )
 
 // Heartbeat takes in what the upstream says of itself. A heartbeat that is
@@ -71,6 +74,9 @@
 		r.resetAll()
 	}
 	for flow, s := range r.flows {
+		if s.running && now-s.since > runningFor {
+			r.setRunning(s, false)
+		}
 		idle := now - s.seen
 		if idle > r.lifetime || idle > closedFor && s.phase != accepted {
 			r.forget(flow, s)
@@ -113,7 +119,9 @@
 
 // resetAll tells the callers of all open flows that the upstream has ended.
 func (r *Relay) resetAll() {
-	for flow, s := range r.flows {
+	// The fixed order keeps what follows repeatable.
+	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
+		s := r.flows[flow]
 		if s.phase == accepted {
 			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
 			r.port.Decided(ResetEnded, flow, nil)
--- a/pkg/segment/segment.go
+++ b/pkg/segment/segment.go
@@ -11,6 +11,7 @@
 package segment
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
@@ -102,6 +103,12 @@
 	return h ^ h>>31
 }
 
+// Compare orders flows.
+func (f Flow) Compare(other Flow) int {
+	var a, b [flowBytes]byte
+	return bytes.Compare(f.Append(a[:0]), other.Append(b[:0]))
+}
+
 // String returns the flow as "caller>vip", the id that log lines use.
 func (f Flow) String() string { return fmt.Sprintf("%s>%s", f.Caller(), f.VIP()) }
 
