--- a/internal/verb/bench.go
+++ b/internal/verb/bench.go
@@ -9,6 +9,7 @@
 			benchFlowsVerb(),
 			benchPlacementVerb(),
 			benchPathVerb(),
+			benchFleetVerb(),
 		},
 	}.command()
 }
