--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -150,6 +150,8 @@
 	switch kind {
 	case peer.Place, peer.Deliver, peer.Search:
 		return a.relay.FromProcess(a.now(), b)
+	case peer.Asked:
+		return a.relay.Asked(peer.NewAddr(from.Addr()), b)
 	case peer.Hello:
 		return a.greeted(peer.NewAddr(from.Addr()), b)
 	case peer.Goodbye:
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -202,8 +202,14 @@
 
 func (i *Instance) up() bool { return i.agentUp && !i.dark && !i.removed }
 
-func (i *Instance) receive(_ peer.Addr, datagram []byte) {
-	if err := i.relay.FromProcess(i.world.now(), datagram); err != nil {
+func (i *Instance) receive(from peer.Addr, datagram []byte) {
+	kind, err := peer.KindOf(datagram)
+	if err == nil && kind == peer.Asked {
+		err = i.relay.Asked(from, datagram)
+	} else if err == nil {
+		err = i.relay.FromProcess(i.world.now(), datagram)
+	}
+	if err != nil {
 		i.world.count("malformed")
 	}
 }
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -277,6 +277,7 @@
 
 // send carries a datagram between processes.
 func (w *World) send(from, to peer.Addr, datagram []byte) {
+	w.counts["bytes"] += len(datagram)
 	if w.loss > 0 && w.random.Float64() < w.loss {
 		return
 	}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -9,10 +9,6 @@
 	"hickoryhook.example/pkg/segment"
 )
 
-// allStage marks the frames of a search that asks all agents at once. Their
-// return means nothing: the owner's answer counts.
-const allStage = 255
-
 // FromProcess handles a datagram of an agent.
 func (d *Director) FromProcess(now time.Duration, from peer.Addr, datagram []byte) error {
 	kind, err := peer.KindOf(datagram)
@@ -68,9 +64,6 @@
 func (d *Director) returned(now time.Duration, from peer.Addr, f *peer.Frame, h segment.Head) {
 	s := d.lock(h.Flow)
 	defer s.mu.Unlock()
-	if f.Stage == allStage {
-		return
-	}
 	switch f.For {
 	case peer.Place:
 		d.untaken(now, s, f, h)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -32,8 +32,14 @@
 	shardCount = 16
 	// searchPatience is how long a search may take before a retransmitted
 	// packet of the flow starts another, that asks all agents at once. The
-	// walk past 32 agents takes 20 ms at 0.6 ms a hop.
-	searchPatience = 100 * time.Millisecond
+	// walk past 32 agents takes 20 ms at 0.6 ms a hop; an entry that is five
+	// times slower than usual needs five times that for the answer.
+	searchPatience = 150 * time.Millisecond
+	// asksPerSecond and asksAtOnce bound the searches that ask all agents: at
+	// 72 bytes a message and 50 agents they take 1 Mbit/s, a tenth of the
+	// smallest link of the users' sites.
+	asksPerSecond = 35
+	asksAtOnce    = 35
 	// defaultVerified is how long after a check with the store the
 	// configuration counts as current, so that an unknown address may be
 	// refused: two thirds of the 3 s in which a change must be in force.
@@ -116,6 +122,7 @@
 		verified atomic.Int64 // time of the last check with the store
 		members  *members
 		history  history
+		asks     bucket
 		shards   [shardCount]shard
 	}
 
@@ -380,18 +387,22 @@
 	return d.members.plan(now, d.holders(f), d.history.complete(), f.Hash())
 }
 
-// searchAll asks every agent at once, after a walk that has ended nowhere.
+// searchAll asks every agent at once who holds the flow, after a walk that has
+// ended nowhere, and sends the packet on another walk.
 func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
 	rec.searchedAt = now
-	tried := 0
-	for _, l := range d.plan(now, h.Flow) {
-		for _, a := range l.agents {
-			one := [1]peer.Addr{a}
-			d.send(s, a, &peer.Frame{Kind: peer.Search, Entry: d.self, Service: l.service, Candidates: one[:], Stage: allStage, Packet: packet})
-			tried++
+	if d.asks.take(now) {
+		tried := 0
+		s.frame = peer.Owner{Kind: peer.Asked, Flow: h.Flow}.Append(s.frame[:0])
+		for _, l := range d.plan(now, h.Flow) {
+			for _, a := range l.agents {
+				d.port.ToProcess(a, s.frame)
+				tried++
+			}
 		}
+		d.port.Decided(Decision{Event: SearchedAll, Flow: h.Flow, Tried: tried})
 	}
-	d.port.Decided(Decision{Event: SearchedAll, Flow: h.Flow, Tried: tried})
+	d.walk(s, rec, h, packet)
 }
 
 // settled reports whether enough is known to say that nobody holds a flow.
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -32,7 +32,10 @@
 	Returned
 	// Owned tells an entry who owns a flow. It carries no packet.
 	Owned
-	// Report, Hello and Goodbye are messages.
+	// Asked asks an agent whether its upstream holds a flow. It carries no
+	// packet.
+	Asked
+	// Report is what an agent tells of itself.
 	Report
 	// Hello is what an entry tells of itself.
 	Hello
@@ -163,8 +166,11 @@
 	return nil
 }
 
-// Owner is what an agent tells an entry about a flow that its upstream holds.
+// Owner is what an agent tells an entry about a flow that its upstream holds, or
+// what an entry asks about.
 type Owner struct {
+	// Kind is Owned or Asked.
+	Kind Kind
 	Flow segment.Flow
 	// Start identifies the start of the upstream, see StartOf; 0 if the agent
 	// does not know it yet.
@@ -182,16 +188,17 @@
 
 // Append appends the encoded datagram to b.
 func (o Owner) Append(b []byte) []byte {
-	b = append(b, magic, byte(Owned), 0, 0)
+	b = append(b, magic, byte(o.Kind), 0, 0)
 	b = binary.BigEndian.AppendUint32(b, o.Start)
 	return o.Flow.Append(b)
 }
 
-// Decode decodes an Owned datagram.
+// Decode decodes an Owned or an Asked datagram.
 func (o *Owner) Decode(b []byte) error {
-	if len(b) < 8 || b[0] != magic || Kind(b[1]) != Owned {
+	if len(b) < 8 || b[0] != magic || Kind(b[1]) != Owned && Kind(b[1]) != Asked {
 		return ErrFrame
 	}
+	o.Kind = Kind(b[1])
 	o.Start = binary.BigEndian.Uint32(b[4:])
 	flow, err := segment.DecodeFlow(b[8:])
 	o.Flow = flow
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -30,7 +30,8 @@
 		// ColdFor is how much longer the upstream serves slowly, in
 		// milliseconds.
 		ColdFor int64 `cbor:"8,keyasint,omitempty"`
-		// Flows is how many flows are open at the upstream.
+		// Flows is how many flows are open at the upstream and were used in the
+		// last seconds.
 		Flows int `cbor:"9,keyasint,omitempty"`
 		// Running is how many requests have been delivered and not answered.
 		Running int `cbor:"10,keyasint,omitempty"`
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -38,6 +38,10 @@
 	// runningFor is how long a request without an answer counts as running:
 	// more than the longest deadline of a caller, 6 s.
 	runningFor = 10 * time.Second
+	// activeFor is how long after a caller's last packet its flow counts as
+	// load. Callers pause for 1 to 3 s between requests; one that has given up
+	// on a flow leaves it open at the upstream for longer.
+	activeFor = 4 * time.Second
 	// resetAfterLeave is how long after its last call an upstream has surely
 	// stopped. It exits at once; this covers late timers.
 	resetAfterLeave = 150 * time.Millisecond
@@ -100,6 +104,7 @@
 		leftAt    time.Duration
 		left      bool
 		open      int
+		active    int // open flows whose callers were heard a moment ago
 		running   int
 		lifetime  time.Duration
 	}
@@ -117,6 +122,7 @@
 		upstreamDone bool
 		entry        peer.Addr
 		seen         time.Duration
+		asked        time.Duration // when the caller's last packet came
 		since        time.Duration // when the upstream got what it has not answered
 	}
 
@@ -194,6 +200,21 @@
 	return nil
 }
 
+// Asked answers an entry that looks for the owner of a flow, if the table has
+// it.
+func (r *Relay) Asked(entry peer.Addr, datagram []byte) error {
+	var o peer.Owner
+	if err := o.Decode(datagram); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.flows[o.Flow]; s != nil && s.phase == accepted {
+		r.announce(o.Flow, s, entry)
+	}
+	return nil
+}
+
 // handleOpening handles a packet that asks for a new flow.
 func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Head) {
 	s := r.flows[h.Flow]
@@ -272,7 +293,7 @@
 
 // note updates what is known of a flow from a caller's packet.
 func (r *Relay) note(now time.Duration, f *peer.Frame, h segment.Head, s *state) {
-	s.seen = now
+	s.seen, s.asked = now, now
 	s.entry = f.Entry
 	if h.Has(segment.Ack) {
 		s.acknowledged = h.Acknowledged
@@ -388,7 +409,7 @@
 	if entry == (peer.Addr{}) {
 		return
 	}
-	r.buf = peer.Owner{Flow: flow, Start: r.start}.Append(r.buf[:0])
+	r.buf = peer.Owner{Kind: peer.Owned, Flow: flow, Start: r.start}.Append(r.buf[:0])
 	r.port.ToProcess(entry, r.buf)
 }
 
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -73,7 +73,11 @@
 		r.gone = true
 		r.resetAll()
 	}
+	r.active = 0
 	for flow, s := range r.flows {
+		if s.phase == accepted && now-s.asked <= activeFor {
+			r.active++
+		}
 		if s.running && now-s.since > runningFor {
 			r.setRunning(s, false)
 		}
@@ -112,7 +116,7 @@
 		Empty:    r.gone,
 		Slots:    r.upstream.Slots,
 		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
-		Flows:    r.open,
+		Flows:    r.active,
 		Running:  r.running,
 	}
 }
