--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -50,11 +50,11 @@
 }
 
 // NewAgent opens the sockets of an agent.
-func NewAgent(s *platform.Settings, log *zap.Logger) (*Agent, error) {
+func NewAgent(s *platform.Settings, log *zap.Logger, options ...Option) (*Agent, error) {
 	if !s.ToUpstream.IsValid() || !s.FromUpstream.IsValid() || !s.Control.IsValid() || s.Service == "" {
 		return nil, errors.New("settings: an agent needs app, service, listen.outbound and listen.control")
 	}
-	p, err := newProcess(s, log)
+	p, err := newProcess(s, log, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -26,6 +26,8 @@
 	// unsettledPause is the pause between reads of the registrations while
 	// some registered agents have not been heard.
 	unsettledPause = time.Second
+	// decisionFields is how many fields the log line of a decision has at most.
+	decisionFields = 6
 	// agentsAtOnce bounds the agents that one answer to an entry lists; the
 	// datagram stays below 1,400 bytes.
 	agentsAtOnce = 200
@@ -48,8 +50,8 @@
 }
 
 // NewEntry opens the sockets of an entry.
-func NewEntry(s *platform.Settings, log *zap.Logger) (*Entry, error) {
-	p, err := newProcess(s, log)
+func NewEntry(s *platform.Settings, log *zap.Logger, options ...Option) (*Entry, error) {
+	p, err := newProcess(s, log, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -154,11 +156,28 @@
 // Measured implements director.Port.
 func (e *Entry) Measured(m director.Measure, d time.Duration) { e.counts.measure(string(m), d) }
 
-// Decided implements director.Port.
+// Decided implements director.Port. Fields that a decision does not rest on are
+// left out.
 func (e *Entry) Decided(d director.Decision) {
 	e.counts.add(string(d.Event))
-	e.log.Info(string(d.Event), zap.Stringer("flow", d.Flow), zap.Stringer("agent", d.Agent), zap.Float64("load", d.Load),
-		zap.Duration("age", d.Age), zap.Uint64("config", d.Version), zap.Int("tried", d.Tried))
+	fields := make([]zap.Field, 0, decisionFields)
+	fields = append(fields, zap.Stringer("flow", d.Flow))
+	if d.Agent != (peer.Addr{}) {
+		fields = append(fields, zap.Stringer("agent", d.Agent))
+	}
+	if d.Event == director.Placed {
+		fields = append(fields, zap.Float64("load", d.Load))
+	}
+	if d.Age != 0 {
+		fields = append(fields, zap.Duration("age-ms", d.Age))
+	}
+	if d.Version != 0 {
+		fields = append(fields, zap.Uint64("config", d.Version))
+	}
+	if d.Tried != 0 {
+		fields = append(fields, zap.Int("tried", d.Tried))
+	}
+	e.log.Info(string(d.Event), fields...)
 }
 
 func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) error {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -63,8 +63,12 @@
 		entries  *entrySet
 		codec    platform.Packets
 		counts   metrics
+		gauges   map[string]func() any
 	}
 
+	// Option changes what NewEntry and NewAgent return.
+	Option func(*process)
+
 	// entrySet holds the entries that a process knows.
 	entrySet struct {
 		mu     sync.Mutex
@@ -89,7 +93,12 @@
 	}
 )
 
-func newProcess(s *platform.Settings, log *zap.Logger) (*process, error) {
+// WithGauge publishes a value with the process's metrics.
+func WithGauge(name string, f func() any) Option {
+	return func(p *process) { p.gauges[name] = f }
+}
+
+func newProcess(s *platform.Settings, log *zap.Logger, options ...Option) (*process, error) {
 	p := &process{
 		settings: s,
 		log:      log,
@@ -97,6 +106,10 @@
 		started:  time.Now(),
 		store:    platform.NewStore(s.Store),
 		entries:  &entrySet{byAddr: make(map[peer.Addr]*entryInfo)},
+		gauges:   make(map[string]func() any),
+	}
+	for _, o := range options {
+		o(p)
 	}
 	conn, err := listen(netip.AddrPortFrom(s.Address, s.PeerPort))
 	if err != nil {
@@ -254,6 +267,9 @@
 		for name, f := range gauges {
 			server.Set(name, f)
 		}
+		for name, f := range p.gauges {
+			server.Set(name, f)
+		}
 		server.Start(ctx)
 		<-ctx.Done()
 		return server.Close()
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
@@ -33,7 +34,7 @@
 	}
 
 	platformRunner struct {
-		start func(*platform.Settings, *zap.Logger) (daemonProcess, error)
+		start func(*platform.Settings, *zap.Logger, ...fleet.Option) (daemonProcess, error)
 	}
 )
 
@@ -43,14 +44,18 @@
 		summary: "run a process on the platform",
 		subs: []command{
 			{name: "entry", summary: "a balancer on an entry instance", usage: platformEntryUsage,
-				parse: parsePlatform("platform entry", func(s *platform.Settings, log *zap.Logger) (daemonProcess, error) { return fleet.NewEntry(s, log) })},
+				parse: parsePlatform("platform entry", func(s *platform.Settings, log *zap.Logger, options ...fleet.Option) (daemonProcess, error) {
+					return fleet.NewEntry(s, log, options...)
+				})},
 			{name: "agent", summary: "the agent beside an upstream", usage: platformAgentUsage,
-				parse: parsePlatform("platform agent", func(s *platform.Settings, log *zap.Logger) (daemonProcess, error) { return fleet.NewAgent(s, log) })},
+				parse: parsePlatform("platform agent", func(s *platform.Settings, log *zap.Logger, options ...fleet.Option) (daemonProcess, error) {
+					return fleet.NewAgent(s, log, options...)
+				})},
 		},
 	}.command()
 }
 
-func parsePlatform(name string, start func(*platform.Settings, *zap.Logger) (daemonProcess, error)) func([]string, environment) (runner, error) {
+func parsePlatform(name string, start func(*platform.Settings, *zap.Logger, ...fleet.Option) (daemonProcess, error)) func([]string, environment) (runner, error) {
 	return func(args []string, _ environment) (runner, error) {
 		if err := parseFlags(newFlags(name), args, 0); err != nil {
 			return nil, err
@@ -59,7 +64,7 @@
 	}
 }
 
-func (r *platformRunner) run(ctx context.Context) error {
+func (r *platformRunner) run(ctx context.Context) (err error) {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -68,10 +73,12 @@
 	lines := daemon.NewLines(logged, os.Stdout)
 	defer func() {
 		cancel()
-		<-lines.Done()
+		err = errors.Join(err, <-lines.Done())
 	}()
 	log := daemon.NewLineLogger(lines).With(zap.String("node", s.Node))
-	p, err := r.start(s, log)
+	p, err := r.start(s, log,
+		fleet.WithGauge("log-lines-dropped", func() any { return lines.Dropped() }),
+		fleet.WithGauge("log-lines-sampled", func() any { return lines.Sampled() }))
 	if err != nil {
 		return err
 	}
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 
 	"hickoryhook.example/internal/settings"
+	"hickoryhook.example/platform"
 )
 
 const (
@@ -112,7 +113,8 @@
 	fmt.Fprintf(env.stderr, "hickoryhook: %v\n", err)
 	var usage *usageError
 	var invalid *settings.InvalidError
-	if errors.As(err, &usage) || errors.As(err, &invalid) {
+	var field *platform.FieldError
+	if errors.As(err, &usage) || errors.As(err, &invalid) || errors.As(err, &field) {
 		return ExitUsage
 	}
 	return ExitFailed
