--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -150,6 +150,7 @@
 	SentBack    Event = "sent-back"
 	Refused     Event = "refused-by-upstream"
 	ResetEnded  Event = "reset-upstream-ended"
+	ResetByIt   Event = "reset-by-upstream"
 	UnknownBack Event = "returned-without-context"
 )
 
@@ -340,6 +341,9 @@
 		r.bounced(h, packet)
 		return nil
 	}
+	if h.Has(segment.Reset) {
+		r.port.Decided(ResetByIt, h.Flow, nil)
+	}
 	r.answered(now, h)
 	r.port.ToCaller(h.Flow, packet)
 	return nil
