--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -51,9 +51,10 @@
 	MaxFrame = headBytes + 4*MaxCandidates + 1500
 
 	magic     = 0x68
-	headBytes = 16
+	headBytes = 20
 
 	flagUncertain = 1
+	flagForced    = 2
 )
 
 // ErrFrame reports a datagram that is not a frame.
@@ -88,6 +89,13 @@
 		Round uint8
 		// Hop is the index in Candidates of the agent that has the frame.
 		Hop int
+		// Best is 1 + the index in Candidates of the least busy agent so far that
+		// passed an opening on, 0 if there is none, and BestLoad its load in
+		// eighths of a request for each slot.
+		Best     int
+		BestLoad uint8
+		// Forced says that the agent must take the opening if its upstream does.
+		Forced bool
 		// Candidates are the agents that the packet may visit, in order.
 		Candidates []Addr
 		// Packet is the caller's packet. Decode does not copy it.
@@ -125,16 +133,19 @@
 // Append appends the encoded frame to b.
 //
 // Layout: magic, kind, for, flags, entry (4), service (4), hop, count, stage,
-// round, count addresses (4 each), packet.
+// round, best, load of the best, two zeros, count addresses (4 each), packet.
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Uncertain {
 		flags |= flagUncertain
 	}
+	if f.Forced {
+		flags |= flagForced
+	}
 	b = append(b, magic, byte(f.Kind), byte(f.For), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round)
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, 0, 0)
 	for _, c := range f.Candidates {
 		b = append(b, c[:]...)
 	}
@@ -147,13 +158,14 @@
 		return ErrFrame
 	}
 	f.Kind, f.For = Kind(b[1]), Kind(b[2])
-	f.Uncertain = b[3]&flagUncertain != 0
+	f.Uncertain, f.Forced = b[3]&flagUncertain != 0, b[3]&flagForced != 0
 	copy(f.Entry[:], b[4:])
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[8:]))
 	f.Hop = int(b[12])
 	count := int(b[13])
 	f.Stage, f.Round = int(b[14]), b[15]
-	if count > MaxCandidates || f.Hop > count || len(b) < headBytes+4*count {
+	f.Best, f.BestLoad = int(b[16]), b[17]
+	if count > MaxCandidates || f.Hop > count || f.Best > count || len(b) < headBytes+4*count {
 		return ErrFrame
 	}
 	b = b[headBytes:]
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -26,6 +27,13 @@
 )
 
 const (
+	// loadUnit is the unit of a load in a frame: eighths of a request a slot.
+	loadUnit = 8
+	// mostRunning is how many requests a slot of the least busy candidate may
+	// have for it to take an opening: what waits longer comes too late for its
+	// caller. On the users' sites a wait of two requests is within the target
+	// latency and one of four is not.
+	mostRunning = 2
 	// contexts is how many delivered packets are remembered until the
 	// upstream may have returned them. A power of two.
 	contexts = 4096
@@ -128,6 +136,9 @@
 
 	// context is what is needed when the upstream returns a packet.
 	context struct {
+		forced     bool
+		best       int
+		bestLoad   uint8
 		tag        uint32
 		kind       peer.Kind
 		uncertain  bool
@@ -236,13 +247,20 @@
 	r.deliver(now, f, h, s)
 }
 
-// takes decides whether the upstream is offered a new flow.
+// takes decides whether the upstream is offered a new flow. A busy one leaves
+// its load in the frame and lets the other candidates have a look first.
 func (r *Relay) takes(f *peer.Frame) bool {
 	if f.Service != r.service || !r.alive || r.upstream.Draining {
 		return false
 	}
-	last := f.Hop+1 >= len(f.Candidates)
-	return last || r.running < r.upstream.Slots
+	if f.Forced || r.running < r.upstream.Slots {
+		return true
+	}
+	load := uint8(min(loadUnit*r.running/max(1, r.upstream.Slots), math.MaxUint8))
+	if f.Best == 0 || load < f.BestLoad {
+		f.Best, f.BestLoad = f.Hop+1, load
+	}
+	return false
 }
 
 // handleOpen handles a packet of a flow that is open somewhere.
@@ -286,6 +304,7 @@
 	r.next++
 	c := &r.ring[r.next%contexts]
 	c.tag, c.kind, c.uncertain = r.next, f.Kind, f.Uncertain
+	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.candidates = append(c.candidates[:0], f.Candidates...)
 	r.codec.SetTag(f.Packet, r.next)
@@ -314,11 +333,18 @@
 // passOn sends a frame to the next agent on its list, or back to the entry.
 func (r *Relay) passOn(f *peer.Frame, h segment.Head) {
 	f.Hop++
+	switch {
+	case f.Forced:
+		f.Hop = len(f.Candidates)
+	case f.Hop >= len(f.Candidates) && f.Best > 0 && f.BestLoad <= loadUnit*mostRunning:
+		f.Hop, f.Forced = f.Best-1, true
+	}
 	if f.Hop < len(f.Candidates) {
 		r.port.Decided(PassedOn, h.Flow, f)
 		r.send(f.Candidates[f.Hop], f)
 		return
 	}
+	f.Forced, f.Best, f.BestLoad = false, 0, 0
 	r.port.Decided(SentBack, h.Flow, f)
 	f.For, f.Kind = f.Kind, peer.Returned
 	r.send(f.Entry, f)
@@ -362,6 +388,9 @@
 	f := &peer.Frame{
 		Kind:       c.kind,
 		Uncertain:  c.uncertain,
+		Forced:     c.forced,
+		Best:       c.best,
+		BestLoad:   c.bestLoad,
 		Stage:      c.stage,
 		Round:      c.round,
 		Hop:        c.hop,
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,206 @@
+package relay_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"net/netip"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/relay"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+var (
+	entry = peer.Addr{10, 0, 1, 1}
+	vip   = netip.MustParseAddrPort("198.18.0.1:443")
+)
+
+// rig is a relay and a record of what left it.
+type rig struct {
+	relay *relay.Relay
+	now   time.Duration
+	out   []string
+	last  []byte // the last packet that the upstream got
+}
+
+func (r *rig) ToUpstream(packet []byte) {
+	r.last = append([]byte(nil), packet...)
+	r.out = append(r.out, "upstream")
+}
+
+func (r *rig) ToCaller(_ segment.Flow, packet []byte) {
+	h, err := platform.Packets{}.FromUpstream(packet)
+	if err != nil {
+		panic(err)
+	}
+	if h.Has(segment.Reset) {
+		r.out = append(r.out, fmt.Sprintf("reset %d", binary.BigEndian.Uint32(packet[16:])))
+		return
+	}
+	r.out = append(r.out, "caller")
+}
+
+func (r *rig) ToProcess(to peer.Addr, datagram []byte) {
+	kind, err := peer.KindOf(datagram)
+	if err != nil {
+		panic(err)
+	}
+	if kind == peer.Owned {
+		r.out = append(r.out, "owned "+to.String())
+		return
+	}
+	var f peer.Frame
+	if err := f.Decode(datagram); err != nil {
+		panic(err)
+	}
+	text := map[peer.Kind]string{peer.Place: "place", peer.Deliver: "deliver", peer.Search: "search", peer.Returned: "returned"}[f.Kind]
+	if f.Forced {
+		text += " forced"
+	}
+	if f.Uncertain {
+		text += " uncertain"
+	}
+	r.out = append(r.out, text+" "+to.String())
+}
+
+func (r *rig) Measured(relay.Measure, time.Duration)          {}
+func (r *rig) Decided(relay.Event, segment.Flow, *peer.Frame) {}
+func caller(n int) segment.Flow {
+	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
+}
+func (r *rig) packet(n int, flags byte, seq, ack uint32, l int) []byte {
+	return encode(caller(n), false, flags, seq, ack, l)
+}
+
+// encode returns a packet in the platform's format.
+func encode(f segment.Flow, fromUpstream bool, flags byte, seq, ack uint32, length int) []byte {
+	b := make([]byte, platform.HeadBytes+length)
+	from, to := f.Caller(), f.VIP()
+	if fromUpstream {
+		from, to = to, from
+	}
+	source, target := from.Addr().As4(), to.Addr().As4()
+	copy(b[4:], source[:])
+	copy(b[8:], target[:])
+	binary.BigEndian.PutUint16(b[12:], to.Port())
+	binary.BigEndian.PutUint16(b[14:], from.Port())
+	binary.BigEndian.PutUint32(b[16:], seq)
+	binary.BigEndian.PutUint32(b[20:], ack)
+	b[24] = flags
+	binary.BigEndian.PutUint16(b[26:], uint16(length))
+	return b
+}
+
+// TestScripts runs testdata/*.txt. A line is a command, or "> " and what must
+// leave the relay since the last such line, in order; ">" alone is nothing.
+//
+//	beat ID SEQUENCE [draining]      the upstream's heartbeat
+//	leave ID | ended | tick SECONDS | assume
+//	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
+//	packet deliver|search N ACK BYTES [service NAME]       a packet of caller N
+//	accept N SEQ | answer N BYTES | rst N                  the upstream's packets
+//	bounce                           the upstream returns the last packet it got
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile(file)
+			is.NoErr(err)
+			r := &rig{}
+			r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.Packets{}, r)
+			for n, line := range strings.Split(string(text), "\n") {
+				words := strings.Fields(line)
+				if len(words) == 0 || words[0] == "#" {
+					continue
+				}
+				if words[0] == ">" {
+					if got, want := strings.Join(r.out, "; "), strings.TrimSpace(line[1:]); got != want {
+						t.Fatalf("line %d: got %q, want %q", n+1, got, want)
+					}
+					r.out = nil
+					continue
+				}
+				is.NoErr(r.do(words))
+			}
+		})
+	}
+}
+
+func number(words []string, i int) int {
+	if i >= len(words) {
+		return 0
+	}
+	n, err := strconv.Atoi(words[i])
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func (r *rig) do(words []string) error {
+	switch words[0] {
+	case "beat":
+		r.relay.Heartbeat(r.now, relay.Upstream{ID: words[1], Sequence: uint64(number(words, 2)), Slots: 2, Draining: len(words) > 3})
+	case "leave":
+		r.relay.Leave(r.now, words[1])
+	case "ended":
+		r.relay.Ended()
+	case "assume":
+		r.relay.Assume(2)
+	case "tick":
+		r.now += time.Duration(number(words, 1)) * time.Second
+		r.relay.Tick(r.now)
+	case "place":
+		return r.relay.FromProcess(r.now, r.frame(peer.Place, words[2:], r.packet(number(words, 1), 2, 1, 0, 0)))
+	case "packet":
+		kind := map[string]peer.Kind{"deliver": peer.Deliver, "search": peer.Search}[words[1]]
+		p := r.packet(number(words, 2), 64, 2, uint32(number(words, 3)), number(words, 4))
+		return r.relay.FromProcess(r.now, r.frame(kind, words[5:], p))
+	case "accept":
+		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, 2|64, uint32(number(words, 2)), 2, 0))
+	case "answer":
+		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, 64, 0, 0, number(words, 2)))
+	case "bounce":
+		r.last[24] |= 4
+		return r.relay.FromUpstream(r.now, r.last)
+	default:
+		return fmt.Errorf("command %q", words[0])
+	}
+	return nil
+}
+
+// frame returns a frame with this relay first on a list of two, or alone.
+func (r *rig) frame(kind peer.Kind, words []string, packet []byte) []byte {
+	f := peer.Frame{Kind: kind, Entry: entry, Service: peer.Service("maklerlink"), Packet: packet,
+		Candidates: []peer.Addr{{10, 0, 0, 1}, {10, 0, 0, 2}}}
+	for i := 0; i < len(words); i++ {
+		switch words[i] {
+		case "best":
+			f.Best, f.BestLoad = number(words, i+1), uint8(number(words, i+2))
+			i += 2
+		case "forced":
+			f.Forced = true
+		case "last":
+			f.Candidates = []peer.Addr{{10, 0, 0, 2}, {10, 0, 0, 1}}
+			f.Hop = 1
+		case "service":
+			f.Service = peer.Service(words[i+1])
+			i++
+		}
+	}
+	return f.Append(nil)
+}
