--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -79,7 +79,6 @@
 		heard       time.Duration
 		added       time.Duration
 		everHeard   bool
-		version     uint64
 		incarnation int64
 		place       string
 		ready       bool
@@ -318,7 +317,7 @@
 	if g.Ready && !e.ready {
 		e.readySince = now
 	}
-	e.heard, e.everHeard, e.version, e.incarnation = now, true, max(e.version, g.ConfigVersion), g.Incarnation
+	e.heard, e.everHeard, e.incarnation = now, true, g.Incarnation
 	e.place, e.ready = g.Place, g.Ready
 	return isNew
 }
@@ -373,17 +372,3 @@
 	}
 	return out
 }
-
-// newest returns the entry with the newest configuration.
-func (s *entrySet) newest() (peer.Addr, uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var best peer.Addr
-	var version uint64
-	for a, e := range s.byAddr {
-		if e.everHeard && e.version > version {
-			best, version = a, e.version
-		}
-	}
-	return best, version
-}
--- a/internal/kvstandin/store.go
+++ b/internal/kvstandin/store.go
@@ -11,6 +11,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -161,6 +162,8 @@
 	case ResetConnections:
 		panic(http.ErrAbortHandler)
 	case Silent:
+		// The server notices that a caller has gone only once its body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
