--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"hickoryhook.example/internal/fleet"
 	"hickoryhook.example/internal/kvstandin"
+	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
 
@@ -174,14 +175,9 @@
 // returns who got it with its flags.
 func (s *site) open(vip string, callerPort int) (string, byte) {
 	s.t.Helper()
-	b := make([]byte, platform.HeadBytes)
-	source := netip.MustParseAddr(s.ip(3)).As4()
-	target := netip.MustParseAddr(vip).As4()
-	copy(b[4:], source[:])
-	copy(b[8:], target[:])
-	binary.BigEndian.PutUint16(b[12:], vipPort)
-	binary.BigEndian.PutUint16(b[14:], uint16(callerPort))
-	b[24] = 2
+	flow := segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr(s.ip(3)), uint16(callerPort)),
+		netip.AddrPortFrom(netip.MustParseAddr(vip), vipPort))
+	b := platform.Encode(segment.Head{Flow: flow, Flags: segment.Open}, false)
 	var who string
 	var flags byte
 	s.eventually("an opening to "+vip+" is answered", func() bool {
--- /dev/null
+++ b/internal/fleetdemo/callers.go
@@ -0,0 +1,183 @@
+package fleetdemo
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+const (
+	requestBytes = 100
+	resendAfter  = 200 * time.Millisecond
+	deadline     = 2 * time.Second
+	askEvery     = 250 * time.Millisecond
+	firstPort    = 1024
+)
+
+type (
+	// callers share one address and socket, as the platform's do.
+	callers struct {
+		site *site
+		conn *net.UDPConn
+		mu   sync.Mutex
+		to   map[segment.Flow]chan segment.Head
+		port uint16
+
+		asked, answered, lost, resets int
+	}
+
+	// line is a flow that a caller keeps open.
+	line struct {
+		flow     segment.Flow
+		packets  chan segment.Head
+		seq, ack uint32
+		closed   bool // the upstream has closed it with its last answer
+	}
+)
+
+func newCallers(s *site) (*callers, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.at(s.host(callerHost), portPackets)))
+	if err != nil {
+		return nil, errors.Wrap(err, "callers")
+	}
+	return &callers{site: s, conn: conn, to: make(map[segment.Flow]chan segment.Head), port: firstPort}, nil
+}
+
+// receive hands packets to the lines they belong to.
+func (c *callers) receive() error {
+	buf := make([]byte, platform.MaxPacket)
+	for {
+		n, _, err := c.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // such as a refused earlier datagram
+		}
+		h, err := platform.DecodeFromUpstream(buf[:n])
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		packets := c.to[h.Flow]
+		c.mu.Unlock()
+		select {
+		case packets <- h:
+		default: // nobody waits for it any more
+		}
+	}
+}
+
+// run asks on one line until the context ends, and opens another when it is
+// reset.
+func (c *callers) run(ctx context.Context) error {
+	var l *line
+	for ctx.Err() == nil {
+		ok := true
+		if l != nil && (l.closed || c.wasReset(l)) {
+			l = nil
+		}
+		if l == nil {
+			l, ok = c.open()
+		}
+		c.count(&c.asked)
+		if ok {
+			ok = c.ask(l)
+		}
+		if ok {
+			c.count(&c.answered)
+		} else {
+			c.count(&c.lost)
+			l = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askEvery):
+		}
+	}
+	return nil
+}
+
+// wasReset reports whether a line was reset while nobody waited on it.
+func (c *callers) wasReset(l *line) bool {
+	for {
+		select {
+		case h := <-l.packets:
+			if h.Has(segment.Reset) {
+				c.count(&c.resets)
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
+func (c *callers) open() (*line, bool) {
+	c.mu.Lock()
+	c.port++
+	flow := segment.NewFlow(netip.AddrPortFrom(c.site.host(callerHost), c.port), vip)
+	l := &line{flow: flow, packets: make(chan segment.Head, 8), seq: uint32(c.port) << 12}
+	c.to[flow] = l.packets
+	c.mu.Unlock()
+	h, ok := c.exchange(l, segment.Head{Flow: flow, Flags: segment.Open, Sequence: l.seq}, func(h segment.Head) bool {
+		return h.Has(segment.Open | segment.Ack)
+	})
+	l.seq++
+	l.ack = h.Sequence + 1
+	return l, ok
+}
+
+func (c *callers) ask(l *line) bool {
+	h, ok := c.exchange(l, segment.Head{Flow: l.flow, Flags: segment.Ack, Sequence: l.seq, Acknowledged: l.ack, Length: requestBytes},
+		func(h segment.Head) bool { return h.Length > 0 && h.Sequence == l.ack })
+	l.closed = h.Has(segment.Fin)
+	l.seq += requestBytes
+	l.ack += uint32(h.Length)
+	return ok
+}
+
+// exchange sends a packet until an answer comes that is wanted, the line is
+// reset, or the deadline passes.
+func (c *callers) exchange(l *line, h segment.Head, wanted func(segment.Head) bool) (segment.Head, bool) {
+	b := platform.Encode(h, false)
+	end := time.After(deadline)
+	for {
+		if to, ok := c.site.routed(l.flow); ok {
+			if _, err := c.conn.WriteToUDPAddrPort(b, to); err != nil {
+				return segment.Head{}, false
+			}
+		}
+		resend := time.After(resendAfter)
+	wait:
+		for {
+			select {
+			case got := <-l.packets:
+				if got.Has(segment.Reset) {
+					c.count(&c.resets)
+					return got, false
+				}
+				if wanted(got) {
+					return got, true
+				}
+			case <-resend:
+				break wait
+			case <-end:
+				return segment.Head{}, false
+			}
+		}
+	}
+}
+
+func (c *callers) count(n *int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*n++
+}
--- /dev/null
+++ b/internal/fleetdemo/upstream.go
@@ -0,0 +1,203 @@
+package fleetdemo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/fleet"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+// answerBytes is the size of an upstream's answer.
+const answerBytes = 200
+
+type (
+	// upstream holds flows, answers requests at once, and returns packets of
+	// flows that it does not hold. The agent beside it is part of it.
+	upstream struct {
+		site      *site
+		id        string
+		settings  *platform.Settings
+		conn      *net.UDPConn
+		health    *http.Server
+		random    *rand.Rand
+		stopAgent func() error
+		cancel    context.CancelFunc
+		ended     []chan error
+		draining  chan struct{}
+	}
+
+	// held is a flow at an upstream.
+	held struct {
+		first, next, want uint32
+		last              []byte
+	}
+)
+
+func (s *site) startUpstream(n int, seed uint64) (*upstream, error) {
+	settings := s.settings(s.host(byte(firstUpstream + n)))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.ToUpstream))
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream")
+	}
+	listener, err := net.Listen("tcp4", settings.ToUpstream.String())
+	if err != nil {
+		return nil, errors.Join(errors.Wrap(err, "upstream"), conn.Close())
+	}
+	agent, err := fleet.NewAgent(settings, s.log)
+	if err != nil {
+		return nil, errors.Join(err, conn.Close(), listener.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	u := &upstream{
+		site: s, id: fmt.Sprintf("u-%d", n), settings: settings, conn: conn, cancel: cancel,
+		health: &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
+		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}),
+	}
+	u.stopAgent = start(agent)
+	u.run(func() error { return u.serve() })
+	u.run(func() error { return u.beat(ctx) })
+	u.run(func() error {
+		if err := u.health.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "upstream's health")
+		}
+		return nil
+	})
+	return u, nil
+}
+
+func (u *upstream) run(f func() error) {
+	done := make(chan error, 1)
+	u.ended = append(u.ended, done)
+	go func() { done <- f() }()
+}
+
+// leave drains the upstream for a while, ends it and stops its agent.
+func (u *upstream) leave(after time.Duration) error {
+	close(u.draining)
+	time.Sleep(after)
+	return u.stop()
+}
+
+// stop ends the upstream and its agent.
+func (u *upstream) stop() error {
+	u.call(http.MethodDelete, "")
+	u.cancel()
+	err := errors.Join(u.conn.Close(), u.health.Close())
+	for _, done := range u.ended {
+		err = errors.Join(err, <-done)
+	}
+	time.Sleep(probeEvery) // the agent tells the callers of open flows
+	return errors.Join(err, u.stopAgent())
+}
+
+// beat tells the agent how the upstream does.
+func (u *upstream) beat(ctx context.Context) error {
+	for seq := 1; ctx.Err() == nil; seq++ {
+		state := "ready"
+		draining := u.draining
+		if u.drains() {
+			state, draining = "draining", nil
+		}
+		u.call(http.MethodPut, fmt.Sprintf(
+			`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d}`, service, slots, state, seq))
+		select {
+		case <-ctx.Done():
+		case <-draining:
+		case <-time.After(beatEvery):
+		}
+	}
+	return nil
+}
+
+func (u *upstream) call(method, body string) {
+	req, err := http.NewRequest(method, "http://"+u.settings.Control.String()+"/instances/"+u.id, strings.NewReader(body))
+	if err != nil {
+		u.site.log.Error("heartbeat", zap.Error(err))
+		return
+	}
+	client := &http.Client{Timeout: beatEvery}
+	resp, err := client.Do(req)
+	if err != nil {
+		return // the agent may be starting; the next one follows
+	}
+	if err := resp.Body.Close(); err != nil {
+		u.site.log.Error("heartbeat", zap.Error(err))
+	}
+}
+
+// serve answers packets until the socket is closed.
+func (u *upstream) serve() error {
+	flows := make(map[segment.Flow]*held)
+	buf := make([]byte, platform.MaxPacket)
+	for {
+		n, _, err := u.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // such as a refused earlier datagram
+		}
+		answer, err := u.answer(flows, buf[:n])
+		if err != nil || answer == nil {
+			continue // malformed, or an acknowledgement
+		}
+		if _, err := u.conn.WriteToUDPAddrPort(answer, u.settings.FromUpstream); err != nil && !errors.Is(err, net.ErrClosed) {
+			u.site.log.Error("upstream's answer", zap.Error(err))
+		}
+	}
+}
+
+func (u *upstream) answer(flows map[segment.Flow]*held, b []byte) ([]byte, error) {
+	h, err := platform.DecodeFromCaller(b)
+	if err != nil {
+		return nil, err
+	}
+	f := flows[h.Flow]
+	switch {
+	case h.Opens() && f == nil:
+		f = &held{first: u.random.Uint32(), want: h.Sequence + 1}
+		f.next = f.first + 1
+		flows[h.Flow] = f
+		fallthrough
+	case h.Opens():
+		return u.packet(h.Flow, segment.Open|segment.Ack, f.first, f.want, 0), nil
+	case f == nil:
+		platform.MarkReturned(b)
+		return b, nil
+	case h.Length == 0:
+		return nil, nil
+	case h.Sequence != f.want:
+		return f.last, nil // a copy of a request that was answered
+	}
+	f.want += uint32(h.Length)
+	flags := segment.Ack
+	if u.drains() {
+		flags |= segment.Fin // the caller opens its next flow elsewhere
+	}
+	f.last = u.packet(h.Flow, flags, f.next, f.want, answerBytes)
+	f.next += answerBytes
+	return f.last, nil
+}
+
+func (u *upstream) drains() bool {
+	select {
+	case <-u.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+func (u *upstream) packet(flow segment.Flow, flags segment.Flags, seq, ack uint32, length uint16) []byte {
+	return platform.Encode(segment.Head{Flow: flow, Flags: flags, Sequence: seq, Acknowledged: ack, Length: length}, true)
+}
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -1,10 +1,10 @@
 package fleetsim
 
 import (
-	"encoding/binary"
 	"time"
 
 	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
 )
 
 const (
@@ -161,29 +161,11 @@
 
 // bounce returns a packet that belongs to no flow here.
 func (u *upstream) bounce(b []byte) {
-	b[24] |= 4
+	platform.MarkReturned(b)
 	u.instance.world.After(50*time.Microsecond, func() { u.send(b) })
 }
 
 // packet returns an encoded packet of the caller, or of the upstream.
 func packet(flow segment.Flow, fromUpstream bool, flags segment.Flags, seq, ack uint32, length int) []byte {
-	b := make([]byte, 32+length)
-	source, target := flow.Caller(), flow.VIP()
-	if fromUpstream {
-		source, target = target, source
-	}
-	from, to := source.Addr().As4(), target.Addr().As4()
-	copy(b[4:], from[:])
-	copy(b[8:], to[:])
-	binary.BigEndian.PutUint16(b[12:], target.Port())
-	binary.BigEndian.PutUint16(b[14:], source.Port())
-	binary.BigEndian.PutUint32(b[16:], seq)
-	binary.BigEndian.PutUint32(b[20:], ack)
-	for flag, bit := range map[segment.Flags]byte{segment.Open: 2, segment.Ack: 64, segment.Fin: 128, segment.Reset: 1} {
-		if flags&flag != 0 {
-			b[24] |= bit
-		}
-	}
-	binary.BigEndian.PutUint16(b[26:], uint16(length))
-	return b
+	return platform.Encode(segment.Head{Flow: flow, Flags: flags, Sequence: seq, Acknowledged: ack, Length: uint16(length)}, fromUpstream)
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -78,27 +78,13 @@
 func caller(n int) segment.Flow {
 	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
 }
-func (r *rig) packet(n int, flags byte, seq, ack uint32, l int) []byte {
+func (r *rig) packet(n int, flags segment.Flags, seq, ack uint32, l int) []byte {
 	return encode(caller(n), false, flags, seq, ack, l)
 }
 
-// encode returns a packet in the platform's format.
-func encode(f segment.Flow, fromUpstream bool, flags byte, seq, ack uint32, length int) []byte {
-	b := make([]byte, platform.HeadBytes+length)
-	from, to := f.Caller(), f.VIP()
-	if fromUpstream {
-		from, to = to, from
-	}
-	source, target := from.Addr().As4(), to.Addr().As4()
-	copy(b[4:], source[:])
-	copy(b[8:], target[:])
-	binary.BigEndian.PutUint16(b[12:], to.Port())
-	binary.BigEndian.PutUint16(b[14:], from.Port())
-	binary.BigEndian.PutUint32(b[16:], seq)
-	binary.BigEndian.PutUint32(b[20:], ack)
-	b[24] = flags
-	binary.BigEndian.PutUint16(b[26:], uint16(length))
-	return b
+// encode returns a packet of the caller, or of the upstream.
+func encode(f segment.Flow, fromUpstream bool, flags segment.Flags, seq, ack uint32, length int) []byte {
+	return platform.Encode(segment.Head{Flow: f, Flags: flags, Sequence: seq, Acknowledged: ack, Length: uint16(length)}, fromUpstream)
 }
 
 // TestScripts runs testdata/*.txt. A line is a command, or "> " and what must
@@ -165,17 +151,17 @@
 		r.now += time.Duration(number(words, 1)) * time.Second
 		r.relay.Tick(r.now)
 	case "place":
-		return r.relay.FromProcess(r.now, r.frame(peer.Place, words[2:], r.packet(number(words, 1), 2, 1, 0, 0)))
+		return r.relay.FromProcess(r.now, r.frame(peer.Place, words[2:], r.packet(number(words, 1), segment.Open, 1, 0, 0)))
 	case "packet":
 		kind := map[string]peer.Kind{"deliver": peer.Deliver, "search": peer.Search}[words[1]]
-		p := r.packet(number(words, 2), 64, 2, uint32(number(words, 3)), number(words, 4))
+		p := r.packet(number(words, 2), segment.Ack, 2, uint32(number(words, 3)), number(words, 4))
 		return r.relay.FromProcess(r.now, r.frame(kind, words[5:], p))
 	case "accept":
-		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, 2|64, uint32(number(words, 2)), 2, 0))
+		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, segment.Open|segment.Ack, uint32(number(words, 2)), 2, 0))
 	case "answer":
-		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, 64, 0, 0, number(words, 2)))
+		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, segment.Ack, 0, 0, number(words, 2)))
 	case "bounce":
-		r.last[24] |= 4
+		platform.MarkReturned(r.last)
 		return r.relay.FromUpstream(r.now, r.last)
 	default:
 		return fmt.Errorf("command %q", words[0])
