--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
@@ -30,7 +31,7 @@
 		to   map[segment.Flow]chan segment.Head
 		port uint16
 
-		asked, answered, lost, resets int
+		asked, answered, lost, resets, broken int
 	}
 
 	// line is a flow that a caller keeps open.
@@ -111,7 +112,7 @@
 		select {
 		case h := <-l.packets:
 			if h.Has(segment.Reset) {
-				c.count(&c.resets)
+				c.reset(l)
 				return true
 			}
 		default:
@@ -161,7 +162,7 @@
 			select {
 			case got := <-l.packets:
 				if got.Has(segment.Reset) {
-					c.count(&c.resets)
+					c.reset(l)
 					return got, false
 				}
 				if wanted(got) {
@@ -176,6 +177,22 @@
 	}
 }
 
+// reset counts the reset of a line, and whether a living upstream holds it.
+func (c *callers) reset(l *line) {
+	c.count(&c.resets)
+	if l.ack != 0 && c.site.holds(l.flow) {
+		c.count(&c.broken)
+		c.site.log.Error("flow reset though its upstream lives", zap.Stringer("flow", l.flow))
+	}
+}
+
+// seen returns what the callers have seen.
+func (c *callers) seen() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Report{Asked: c.asked, Answered: c.answered, Lost: c.lost, Resets: c.resets, Broken: c.broken}
+}
+
 func (c *callers) count(n *int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -34,11 +34,13 @@
 
 	// Report is what the callers saw.
 	Report struct {
-		Asked    int            `json:"asked"`
-		Answered int            `json:"answered"`
-		Lost     int            `json:"lost"`
-		Resets   int            `json:"resets"`
-		Calls    map[string]int `json:"calls-to-the-store"`
+		Asked    int `json:"asked"`
+		Answered int `json:"answered"`
+		Lost     int `json:"lost"`
+		Resets   int `json:"resets"`
+		// Broken counts resets of flows that a living upstream held.
+		Broken int            `json:"broken"`
+		Calls  map[string]int `json:"calls-to-the-store"`
 	}
 )
 
@@ -169,8 +171,9 @@
 		err = errors.Join(err, <-done)
 	}
 	r.ends = nil
-	c := r.callers
-	return Report{Asked: c.asked, Answered: c.answered, Lost: c.lost, Resets: c.resets, Calls: r.site.store.Calls()}, err
+	report := r.callers.seen()
+	report.Calls = r.site.store.Calls()
+	return report, err
 }
 
 // cleanUp ends what still runs.
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -43,6 +43,12 @@
 	firstUpstream = 101
 )
 
+// The roles of the platform's processes, as the command line has them.
+const (
+	roleEntry = "entry"
+	roleAgent = "agent"
+)
+
 // The offsets of a host's ports from the first.
 const (
 	portPeers = iota
@@ -66,8 +72,12 @@
 		server  *http.Server
 		log     *zap.Logger
 
-		mu      sync.Mutex
-		entries []*entryHost
+		// run starts an entry or an agent and returns what stops it.
+		run func(role string, s *platform.Settings) (func() error, error)
+
+		mu        sync.Mutex
+		entries   []*entryHost
+		upstreams []*upstream
 	}
 
 	// entryHost is an entry and what the routers think of it.
@@ -86,6 +96,7 @@
 
 func newSite(network byte, log *zap.Logger) (*site, error) {
 	s := &site{network: network, store: kvstandin.New(), log: log}
+	s.run = s.runHere
 	listener, err := net.Listen("tcp4", s.host(storeHost).String()+":0")
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
@@ -140,12 +151,28 @@
 	}
 }
 
+// runHere runs a process's code in this process.
+func (s *site) runHere(role string, settings *platform.Settings) (func() error, error) {
+	if role == roleEntry {
+		e, err := fleet.NewEntry(settings, s.log)
+		if err != nil {
+			return nil, err
+		}
+		return start(e), nil
+	}
+	a, err := fleet.NewAgent(settings, s.log)
+	if err != nil {
+		return nil, err
+	}
+	return start(a), nil
+}
+
 func (s *site) startEntry(host netip.Addr) (*entryHost, error) {
-	e, err := fleet.NewEntry(s.settings(host), s.log)
+	stop, err := s.run(roleEntry, s.settings(host))
 	if err != nil {
 		return nil, err
 	}
-	h := &entryHost{address: host, stop: start(e)}
+	h := &entryHost{address: host, stop: stop}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = slices.DeleteFunc(s.entries, func(old *entryHost) bool { return old.address == host })
@@ -206,6 +233,18 @@
 	return s.at(best.address, portPackets), true
 }
 
+// holds reports whether a living upstream holds a flow.
+func (s *site) holds(flow segment.Flow) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		if u.holds(flow) {
+			return true
+		}
+	}
+	return false
+}
+
 // readyEntries returns how many entries the routers send to.
 func (s *site) readyEntries() int {
 	s.mu.Lock()
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"hickoryhook.example/internal/fleet"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -34,6 +34,10 @@
 		cancel    context.CancelFunc
 		ended     []chan error
 		draining  chan struct{}
+
+		mu    sync.Mutex
+		flows map[segment.Flow]*held
+		gone  bool
 	}
 
 	// held is a flow at an upstream.
@@ -53,7 +57,7 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrap(err, "upstream"), conn.Close())
 	}
-	agent, err := fleet.NewAgent(settings, s.log)
+	stopAgent, err := s.run(roleAgent, settings)
 	if err != nil {
 		return nil, errors.Join(err, conn.Close(), listener.Close())
 	}
@@ -61,9 +65,12 @@
 	u := &upstream{
 		site: s, id: fmt.Sprintf("u-%d", n), settings: settings, conn: conn, cancel: cancel,
 		health: &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
-		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}), flows: make(map[segment.Flow]*held),
 	}
-	u.stopAgent = start(agent)
+	u.stopAgent = stopAgent
+	s.mu.Lock()
+	s.upstreams = append(s.upstreams, u)
+	s.mu.Unlock()
 	u.run(func() error { return u.serve() })
 	u.run(func() error { return u.beat(ctx) })
 	u.run(func() error {
@@ -91,13 +98,28 @@
 // stop ends the upstream and its agent.
 func (u *upstream) stop() error {
 	u.call(http.MethodDelete, "")
+	err := u.end()
+	time.Sleep(probeEvery) // the agent tells the callers of open flows
+	return errors.Join(err, u.stopAgent())
+}
+
+// end ends the upstream alone, as a crash does.
+func (u *upstream) end() error {
+	u.mu.Lock()
+	u.gone = true
+	u.mu.Unlock()
 	u.cancel()
 	err := errors.Join(u.conn.Close(), u.health.Close())
 	for _, done := range u.ended {
 		err = errors.Join(err, <-done)
 	}
-	time.Sleep(probeEvery) // the agent tells the callers of open flows
-	return errors.Join(err, u.stopAgent())
+	return err
+}
+
+func (u *upstream) holds(flow segment.Flow) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.gone && u.flows[flow] != nil
 }
 
 // beat tells the agent how the upstream does.
@@ -137,7 +159,6 @@
 
 // serve answers packets until the socket is closed.
 func (u *upstream) serve() error {
-	flows := make(map[segment.Flow]*held)
 	buf := make([]byte, platform.MaxPacket)
 	for {
 		n, _, err := u.conn.ReadFromUDP(buf)
@@ -147,7 +168,7 @@
 		if err != nil {
 			continue // such as a refused earlier datagram
 		}
-		answer, err := u.answer(flows, buf[:n])
+		answer, err := u.answer(buf[:n])
 		if err != nil || answer == nil {
 			continue // malformed, or an acknowledgement
 		}
@@ -157,17 +178,19 @@
 	}
 }
 
-func (u *upstream) answer(flows map[segment.Flow]*held, b []byte) ([]byte, error) {
+func (u *upstream) answer(b []byte) ([]byte, error) {
 	h, err := platform.DecodeFromCaller(b)
 	if err != nil {
 		return nil, err
 	}
-	f := flows[h.Flow]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f := u.flows[h.Flow]
 	switch {
 	case h.Opens() && f == nil:
 		f = &held{first: u.random.Uint32(), want: h.Sequence + 1}
 		f.next = f.first + 1
-		flows[h.Flow] = f
+		u.flows[h.Flow] = f
 		fallthrough
 	case h.Opens():
 		return u.packet(h.Flow, segment.Open|segment.Ack, f.first, f.want, 0), nil
@@ -182,6 +205,7 @@
 	f.want += uint32(h.Length)
 	flags := segment.Ack
 	if u.drains() {
+		delete(u.flows, h.Flow)
 		flags |= segment.Fin // the caller opens its next flow elsewhere
 	}
 	f.last = u.packet(h.Flow, flags, f.next, f.want, answerBytes)
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -44,6 +44,7 @@
 		summary: "run a process on the platform",
 		subs: []command{
 			{name: "demo", summary: "the whole path in one process", usage: platformDemoUsage, parse: parsePlatformDemo},
+			{name: "soak", summary: "processes under random faults", usage: platformSoakUsage, parse: parsePlatformSoak},
 			{name: "entry", summary: "a balancer on an entry instance", usage: platformEntryUsage,
 				parse: parsePlatform("platform entry", func(s *platform.Settings, log *zap.Logger, options ...fleet.Option) (daemonProcess, error) {
 					return fleet.NewEntry(s, log, options...)
--- /dev/null
+++ b/internal/verb/platform_soak.go
@@ -0,0 +1,70 @@
+package verb
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/fleetdemo"
+)
+
+const platformSoakUsage = `usage: hickoryhook platform soak [flags]
+
+Runs entries and agents as processes of their own on loopback addresses, and
+stops, pauses, kills and restarts them while the stand-in of the store
+misbehaves and callers keep their flows open. Exit code 1 if a flow was reset
+whose upstream lived, or if requests are lost after all has settled.
+
+  -seed N      fixes the order of the faults (default 1)
+  -for D       how long faults go on (default 20s)
+  -callers N   flows that are kept open (default 40)
+  -network N   third number of the loopback addresses (default 92)
+`
+
+type platformSoakRunner struct {
+	env     environment
+	seed    uint64
+	length  time.Duration
+	callers int
+	network int
+}
+
+func parsePlatformSoak(args []string, env environment) (runner, error) {
+	r := &platformSoakRunner{env: env}
+	flags := newFlags("platform soak")
+	flags.Uint64Var(&r.seed, "seed", 1, "")
+	flags.DurationVar(&r.length, "for", 20*time.Second, "")
+	flags.IntVar(&r.callers, "callers", 40, "")
+	flags.IntVar(&r.network, "network", 92, "")
+	if err := parseFlags(flags, args, 0); err != nil {
+		return nil, err
+	}
+	if r.callers < 1 || r.callers > maxDemoCallers || r.network < 1 || r.network > maxNetwork {
+		return nil, &usageError{err: errDemoRange}
+	}
+	return r, nil
+}
+
+func (r *platformSoakRunner) run(ctx context.Context) error {
+	program, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	log, err := zap.NewProduction()
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	report, err := fleetdemo.Soak(ctx, fleetdemo.SoakConfig{
+		Config: fleetdemo.Config{
+			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Out: r.env.stdout, Log: log,
+		},
+		Program: program, For: r.length,
+	})
+	return errors.Join(err, printTable(r.env.stdout, []row{
+		{"requests", report.Asked}, {"answered", report.Answered}, {"lost", report.Lost},
+		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken},
+	}))
+}
