--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -9,8 +9,9 @@
 	leaveAfter = 1300 * time.Millisecond
 	// quietFor is the time without packets after which a stopping entry ends.
 	quietFor = 300 * time.Millisecond
-	// leaveMargin is kept of the grace time for the last messages.
-	leaveMargin = 700 * time.Millisecond
+	// leaveMargin is kept of the grace time for the last messages, on an instance
+	// that is five times slower than usual.
+	leaveMargin = 1200 * time.Millisecond
 	// noticed is how long the routers may take to see that an entry is ready:
 	// they ask twice a second.
 	noticed = 600 * time.Millisecond
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -262,42 +262,6 @@
 	return at != 0 && now-at <= defaultVerified
 }
 
-// opening handles a packet that asks for a new flow.
-func (d *Director) opening(now time.Duration, s *shard, h segment.Head, r route.Route, packet []byte) {
-	if rec := s.flows[h.Flow]; rec != nil && d.members.usable(now, rec.owner) {
-		rec.seen = now
-		d.deliver(s, rec, packet)
-		return
-	}
-	d.place(now, s, h, r, packet)
-}
-
-// place offers a new flow to the agents of a service.
-func (d *Director) place(now time.Duration, s *shard, h segment.Head, r route.Route, packet []byte) {
-	name, ok := r.Pick(h.Flow.Hash())
-	service := peer.Service(name)
-	if !ok {
-		d.reset(NoTaker, h, 0)
-		return
-	}
-	list, load, age := d.members.forOpening(now, service, h.Flow.Hash())
-	if len(list) == 0 {
-		d.refuse(now, h)
-		return
-	}
-	s.flows[h.Flow] = &record{owner: list[0], service: service, seen: now, created: now}
-	d.port.Decided(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
-	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Packet: packet})
-}
-
-// refuse resets an opening that no upstream can take, if that is certain.
-func (d *Director) refuse(now time.Duration, h segment.Head) {
-	if !d.settled(now) {
-		return // agents may not have been heard yet
-	}
-	d.reset(NoTaker, h, 0)
-}
-
 // established handles a packet of a flow that is open, or was.
 func (d *Director) established(now time.Duration, s *shard, h segment.Head, packet []byte) {
 	rec := s.flows[h.Flow]
@@ -332,79 +296,6 @@
 	d.send(s, rec.owner, &peer.Frame{Kind: peer.Deliver, Entry: d.self, Service: rec.service, Candidates: list[:], Packet: packet})
 }
 
-// search starts a walk past the agents that may own the flow.
-func (d *Director) search(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
-	rec.seen, rec.searching, rec.searchedAt = now, true, now
-	rec.owner, rec.start, rec.open, rec.unsure = peer.Addr{}, 0, false, false
-	if h.Has(segment.Ack) {
-		rec.acknowledged = h.Acknowledged
-	}
-	rec.plan = d.plan(now, h.Flow)
-	rec.round++
-	d.port.Decided(Decision{Event: Searched, Flow: h.Flow})
-	d.walk(s, rec, h, packet)
-}
-
-// walk sends a packet along the first leg of its flow's search.
-func (d *Director) walk(s *shard, rec *record, h segment.Head, packet []byte) {
-	if !d.next(s, rec, &peer.Frame{Packet: packet}, 0) {
-		d.port.Decided(Decision{Event: FoundUnsure, Flow: h.Flow})
-	}
-}
-
-// next sends a searching packet along a leg of the search. It reports false if
-// the search has no such leg.
-func (d *Director) next(s *shard, rec *record, f *peer.Frame, stage int) bool {
-	if stage >= len(rec.plan) {
-		return false
-	}
-	l := rec.plan[stage]
-	f.Kind, f.Entry, f.Service, f.Candidates, f.Hop = peer.Search, d.self, l.service, l.agents, 0
-	f.Stage, f.Round = stage, rec.round
-	d.send(s, l.agents[0], f)
-	return true
-}
-
-// holders returns the services that may hold a flow, the likeliest first: the
-// one that would take it today.
-func (d *Director) holders(f segment.Flow) []peer.ServiceID {
-	var services []string
-	if r, ok := d.config.Load().Lookup(f.VIP()); ok {
-		if likely, ok := r.Pick(f.Hash()); ok {
-			services = append(services, likely)
-		}
-	}
-	services = union(services, d.history.services(f.VIP()))
-	out := make([]peer.ServiceID, len(services))
-	for i, s := range services {
-		out[i] = peer.Service(s)
-	}
-	return out
-}
-
-// plan returns the order in which a search for the owner of a flow asks.
-func (d *Director) plan(now time.Duration, f segment.Flow) []leg {
-	return d.members.plan(now, d.holders(f), d.history.complete(), f.Hash())
-}
-
-// searchAll asks every agent at once who holds the flow, after a walk that has
-// ended nowhere, and sends the packet on another walk.
-func (d *Director) searchAll(now time.Duration, s *shard, rec *record, h segment.Head, packet []byte) {
-	rec.searchedAt = now
-	if d.asks.take(now) {
-		tried := 0
-		s.frame = peer.Owner{Kind: peer.Asked, Flow: h.Flow}.Append(s.frame[:0])
-		for _, l := range d.plan(now, h.Flow) {
-			for _, a := range l.agents {
-				d.port.ToProcess(a, s.frame)
-				tried++
-			}
-		}
-		d.port.Decided(Decision{Event: SearchedAll, Flow: h.Flow, Tried: tried})
-	}
-	d.walk(s, rec, h, packet)
-}
-
 // settled reports whether enough is known to say that nobody holds a flow.
 func (d *Director) settled(now time.Duration) bool {
 	return d.history.complete() && d.members.settled(now)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -289,15 +289,6 @@
 	r.passOn(f, h)
 }
 
-// owns reports whether the packet belongs to the flow as the upstream opened
-// it. A caller may have been answered by two upstreams and chosen the other.
-func (s *state) owns(h segment.Head) bool {
-	if !s.numbered || !h.Has(segment.Ack) {
-		return true
-	}
-	return h.Acknowledged-s.first <= maxAcknowledged
-}
-
 // deliver gives the packet to the upstream and remembers where it came from.
 func (r *Relay) deliver(now time.Duration, f *peer.Frame, h segment.Head, s *state) {
 	r.note(now, f, h, s)
@@ -311,25 +302,6 @@
 	r.port.ToUpstream(f.Packet)
 }
 
-// note updates what is known of a flow from a caller's packet.
-func (r *Relay) note(now time.Duration, f *peer.Frame, h segment.Head, s *state) {
-	s.seen, s.asked = now, now
-	s.entry = f.Entry
-	if h.Has(segment.Ack) {
-		s.acknowledged = h.Acknowledged
-	}
-	if h.Length > 0 && s.phase == accepted && !s.running {
-		s.since = now
-		r.setRunning(s, true)
-	}
-	if h.Has(segment.Fin) {
-		s.callerDone = true
-	}
-	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
-		r.close(s)
-	}
-}
-
 // passOn sends a frame to the next agent on its list, or back to the entry.
 func (r *Relay) passOn(f *peer.Frame, h segment.Head) {
 	f.Hop++
@@ -403,70 +375,3 @@
 	r.port.Decided(Refused, h.Flow, f)
 	r.passOn(f, h)
 }
-
-// answered updates what is known of a flow from a packet of its upstream.
-func (r *Relay) answered(now time.Duration, h segment.Head) {
-	s := r.flows[h.Flow]
-	if s == nil {
-		if h.Has(segment.Reset) {
-			return
-		}
-		s = &state{phase: accepted}
-		r.flows[h.Flow] = s
-		r.open++
-	}
-	s.seen = now
-	if h.Has(segment.Open) {
-		s.first, s.numbered = h.Sequence, true
-	}
-	if s.phase == offered {
-		s.phase = accepted
-		r.open++
-		r.port.Measured(Accepting, now-s.since)
-		r.announce(h.Flow, s, s.entry)
-	}
-	if h.Length > 0 && s.running {
-		r.port.Measured(Answering, now-s.since)
-		r.setRunning(s, false)
-	}
-	if h.Has(segment.Fin) {
-		s.upstreamDone = true
-	}
-	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
-		r.close(s)
-	}
-}
-
-// announce tells an entry that the upstream holds the flow.
-func (r *Relay) announce(flow segment.Flow, s *state, entry peer.Addr) {
-	if entry == (peer.Addr{}) {
-		return
-	}
-	r.buf = peer.Owner{Kind: peer.Owned, Flow: flow, Start: r.start}.Append(r.buf[:0])
-	r.port.ToProcess(entry, r.buf)
-}
-
-func (r *Relay) setRunning(s *state, running bool) {
-	if s.running == running {
-		return
-	}
-	s.running = running
-	if running {
-		r.running++
-		return
-	}
-	r.running--
-}
-
-func (r *Relay) close(s *state) {
-	if s.phase == accepted {
-		r.open--
-	}
-	r.setRunning(s, false)
-	s.phase = closed
-}
-
-func (r *Relay) forget(flow segment.Flow, s *state) {
-	r.close(s)
-	delete(r.flows, flow)
-}
