--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
+)
+
+// headers are the bytes of the IPv4 and UDP headers of a datagram.
+const headers = 28
+
+var status = peer.Status{
+	Incarnation: 1796250000000, Sequence: 40000, Service: "huvo11a", Upstream: "i-7f3a91c2b5", Taking: true,
+	Slots: 5, Flows: 180, Running: 7, Place: "registry-wing",
+}
+
+func TestFrameRoundTrip(t *testing.T) {
+	is := is.New(t)
+	in := peer.Frame{
+		Kind: peer.Returned, For: peer.Search, Uncertain: true, Entry: peer.Addr{10, 0, 0, 1}, Service: peer.Service("huvo11a"),
+		Stage: 3, Round: 200, Hop: 1, Best: 2, BestLoad: 17, Forced: true,
+		Candidates: []peer.Addr{{10, 0, 0, 2}, {10, 0, 0, 3}}, Packet: []byte("packet"),
+	}
+	var out peer.Frame
+	is.NoErr(out.Decode(in.Append(nil)))
+	is.Equal(out, in)
+}
+
+func TestMessagesRoundTrip(t *testing.T) {
+	is := is.New(t)
+	b, err := peer.Encode(peer.Report, status)
+	is.NoErr(err)
+	var out peer.Status
+	is.NoErr(peer.DecodeMessage(b, &out))
+	is.Equal(out, status)
+	owner := peer.Owner{Kind: peer.Asked, Flow: segment.Flow{}, Start: peer.StartOf("i-1", 5)}
+	var back peer.Owner
+	is.NoErr(back.Decode(owner.Append(nil)))
+	is.Equal(back, owner)
+	is.True(peer.StartOf("i-1", 5) != peer.StartOf("i-1", 6)) // another start under the same id
+}
+
+// TestControlRate covers what an agent spends on control: 3 KB a second are the
+// target's limit, and reports go out 2.5 times a second to each entry. An agent
+// may have up to 10 entries within it.
+func TestControlRate(t *testing.T) {
+	is := is.New(t)
+	const (
+		limit     = 3 * 1024
+		perSecond = 2.5
+		entries   = 10
+	)
+	b, err := peer.Encode(peer.Report, status)
+	is.NoErr(err)
+	is.True(float64(len(b)+headers)*perSecond*entries <= limit)
+	t.Logf("a report takes %d bytes with headers", len(b)+headers)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add((&peer.Frame{Kind: peer.Place, Candidates: []peer.Addr{{1}}, Packet: []byte("p")}).Append(nil))
+	f.Add(peer.Owner{Kind: peer.Owned}.Append(nil))
+	if b, err := peer.Encode(peer.Report, status); err == nil {
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var frame peer.Frame
+		if frame.Decode(b) == nil && frame.Hop > len(frame.Candidates) {
+			t.Fatal("hop beyond the list")
+		}
+		var o peer.Owner
+		_ = o.Decode(b)
+		var s peer.Status
+		_ = peer.DecodeMessage(b, &s)
+		var g peer.Greeting
+		_ = peer.DecodeMessage(b, &g)
+	})
+}
