--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -51,20 +51,12 @@
 	return &callers{site: s, conn: conn, to: make(map[segment.Flow]chan segment.Head), port: firstPort}, nil
 }
 
-// receive hands packets to the lines they belong to.
+// receive hands packets to the lines they belong to until the socket is closed.
 func (c *callers) receive() error {
-	buf := make([]byte, platform.MaxPacket)
-	for {
-		n, _, err := c.conn.ReadFromUDP(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue // such as a refused earlier datagram
-		}
-		h, err := platform.DecodeFromUpstream(buf[:n])
+	return eachPacket(c.conn, func(b []byte) {
+		h, err := platform.DecodeFromUpstream(b)
 		if err != nil {
-			continue
+			return
 		}
 		c.mu.Lock()
 		packets := c.to[h.Flow]
@@ -73,7 +65,7 @@
 		case packets <- h:
 		default: // nobody waits for it any more
 		}
-	}
+	})
 }
 
 // run asks on one line until the context ends, and opens another when it is
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -257,3 +257,19 @@
 	}
 	return n
 }
+
+// eachPacket calls f for each datagram until the socket is closed. f must not
+// keep it.
+func eachPacket(conn *net.UDPConn, f func(b []byte)) error {
+	buf := make([]byte, platform.MaxPacket)
+	for {
+		n, _, err := conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // such as a refused earlier datagram
+		}
+		f(buf[:n])
+	}
+}
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -159,23 +159,15 @@
 
 // serve answers packets until the socket is closed.
 func (u *upstream) serve() error {
-	buf := make([]byte, platform.MaxPacket)
-	for {
-		n, _, err := u.conn.ReadFromUDP(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue // such as a refused earlier datagram
-		}
-		answer, err := u.answer(buf[:n])
+	return eachPacket(u.conn, func(b []byte) {
+		answer, err := u.answer(b)
 		if err != nil || answer == nil {
-			continue // malformed, or an acknowledgement
+			return // malformed, or an acknowledgement
 		}
 		if _, err := u.conn.WriteToUDPAddrPort(answer, u.settings.FromUpstream); err != nil && !errors.Is(err, net.ErrClosed) {
 			u.site.log.Error("upstream's answer", zap.Error(err))
 		}
-	}
+	})
 }
 
 func (u *upstream) answer(b []byte) ([]byte, error) {
