--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -65,7 +65,6 @@
 	FoundUnsure  Event = "found-nobody-uncertain"
 	Found        Event = "found"
 	UpstreamGone Event = "upstream-gone"
-	Malformed    Event = "malformed"
 )
 
 // The latencies that a director measures.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -3,15 +3,15 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"net/netip"
-
 	"github.com/matryer/is"
 
 	"hickoryhook.example/pkg/peer"
@@ -90,7 +90,7 @@
 // TestScripts runs testdata/*.txt. A line is a command, or "> " and what must
 // leave the relay since the last such line, in order; ">" alone is nothing.
 //
-//	beat ID SEQUENCE [draining]      the upstream's heartbeat
+//	beat ID SEQUENCE [draining] [born N]   the upstream's heartbeat
 //	leave ID | ended | tick SECONDS | assume
 //	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME]       a packet of caller N
@@ -140,7 +140,11 @@
 func (r *rig) do(words []string) error {
 	switch words[0] {
 	case "beat":
-		r.relay.Heartbeat(r.now, relay.Upstream{ID: words[1], Sequence: uint64(number(words, 2)), Slots: 2, Draining: len(words) > 3})
+		u := relay.Upstream{ID: words[1], Sequence: uint64(number(words, 2)), Slots: 2, Draining: slices.Contains(words, "draining")}
+		if i := slices.Index(words, "born"); i > 0 {
+			u.Born = int64(number(words, i+1))
+		}
+		r.relay.Heartbeat(r.now, u)
 	case "leave":
 		r.relay.Leave(r.now, words[1])
 	case "ended":
