--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -162,8 +162,12 @@
 			if rec.owner != owner || rec.start == 0 || rec.start == start {
 				continue
 			}
-			d.reset(UpstreamGone, segment.Head{Flow: flow, Acknowledged: rec.acknowledged}, 0)
 			delete(s.flows, flow)
+			// A reset whose number the caller does not expect would be no use; a
+			// flow without an acknowledgement is found dead by its next packet.
+			if rec.acknowledged != 0 {
+				d.reset(UpstreamGone, segment.Head{Flow: flow, Acknowledged: rec.acknowledged}, 0)
+			}
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -49,6 +49,9 @@
 	s.seen = now
 	if h.Has(segment.Open) {
 		s.first, s.numbered = h.Sequence, true
+		if s.acknowledged == 0 {
+			s.acknowledged = h.Sequence + 1 // what the caller will acknowledge first
+		}
 	}
 	if s.phase == offered {
 		s.phase = accepted
