--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -58,13 +58,13 @@
 	raw      []byte
 	revision uint64
 	readAt   time.Duration
-	fetching bool
+	newer    chan peer.Addr // who has a newer configuration
 	holders  chan struct{}
 	changed  func() // tells the other entries of a new configuration at once
 }
 
 func newConfigSync(p *process, d *director.Director, changed func()) *configSync {
-	return &configSync{process: p, director: d, changed: changed, client: &http.Client{Timeout: storeTimeout}, holders: make(chan struct{}, 1)}
+	return &configSync{process: p, director: d, changed: changed, client: &http.Client{Timeout: storeTimeout}, holders: make(chan struct{}, 1), newer: make(chan peer.Addr, 1)}
 }
 
 // apply puts an encoded configuration in force if it is newer.
@@ -192,22 +192,27 @@
 	if g.ConfigVersion == 0 || config != nil && config.Version() >= g.ConfigVersion {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.fetching {
-		return
+	select {
+	case c.newer <- from:
+	default: // one is being fetched; the next greeting tells again
+	}
+}
+
+// fetchLoop fetches newer configurations from other entries until the context
+// ends.
+func (c *configSync) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case from := <-c.newer:
+			c.fetch(from)
+		}
 	}
-	c.fetching = true
-	go c.fetch(from, g.ConfigVersion)
 }
 
 // fetch reads the configuration of another entry.
-func (c *configSync) fetch(from peer.Addr, version uint64) {
-	defer func() {
-		c.mu.Lock()
-		c.fetching = false
-		c.mu.Unlock()
-	}()
+func (c *configSync) fetch(from peer.Addr) {
 	address := netip.AddrPortFrom(from.Addr(), c.settings.PeerPort+1)
 	resp, err := c.client.Get("http://" + address.String() + configPath)
 	if err != nil {
@@ -221,7 +226,7 @@
 		return
 	}
 	if err := c.apply(raw, from.String()); err != nil {
-		c.log.Warn("configuration of another entry", zap.Uint64("config", version), daemon.Err(err))
+		c.log.Warn("configuration of another entry", zap.Stringer("entry", from), daemon.Err(err))
 	}
 	c.fetchHolders(address)
 }
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -26,6 +26,9 @@
 	// unsettledPause is the pause between reads of the registrations while
 	// some registered agents have not been heard.
 	unsettledPause = time.Second
+	// fullGreeting is which greeting in a row names the known entries: one in
+	// 3.2 s.
+	fullGreeting = 8
 	// decisionFields is how many fields the log line of a decision has at most.
 	decisionFields = 6
 	// agentsAtOnce bounds the agents that one answer to an entry lists; the
@@ -46,7 +49,7 @@
 	lastTick time.Duration
 
 	registryRead bool // of the task that finds processes
-	greetings    int  // of the task that greets
+	greetings    atomic.Uint32
 }
 
 // NewEntry opens the sockets of an entry.
@@ -79,6 +82,7 @@
 		{"register", e.register},
 		{"find processes", e.findProcesses},
 		{"watch configuration", e.config.watch},
+		{"fetch configuration", e.config.fetchLoop},
 		{"verify configuration", e.config.verifyLoop},
 		{"write holders", e.config.writeHolders},
 		{"remember flows", e.remember},
@@ -293,11 +297,11 @@
 	return g
 }
 
-// greet greets the other entries, with all that are known at every eighth time.
+// greet greets the other entries, now and then with all that are known.
 func (e *Entry) greet() {
 	asks := e.director.Config() == nil || !e.director.Reachable(e.now())
-	e.greetings++
-	e.message(peer.Hello, e.greeting(asks, asks || e.greetings%8 == 0), e.entries.known(e.now())...)
+	full := asks || e.greetings.Add(1)%fullGreeting == 0
+	e.message(peer.Hello, e.greeting(asks, full), e.entries.known(e.now())...)
 }
 
 func (e *Entry) configVersion() any {
