--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -204,6 +204,11 @@
 	is := is.New(t)
 	s := newSite(t, 77)
 	s.putConfig(1, vipText)
+	// what another writer has left names nobody and harms nobody
+	s.store.Set("hickoryhook/entry/not-an-address", []byte("x"))
+	s.store.Set("hickoryhook/entry/fe80::1", nil)
+	s.store.Set("hickoryhook/agents", []byte(`{"agents":7}`))
+	s.store.Set("hickoryhook/of-another-version", []byte{0xff})
 	agent, err := fleet.NewAgent(s.settings(2), zap.NewNop())
 	is.NoErr(err)
 	s.run(agent)
