--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -94,11 +94,7 @@
 // disowned handles a packet whose flow the supposed owner does not hold.
 func (d *Director) disowned(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Head) {
 	rec := s.flows[h.Flow]
-	if rec == nil {
-		rec = &record{created: now}
-		s.flows[h.Flow] = rec
-	}
-	if !rec.searching && rec.owner != from {
+	if rec != nil && !rec.searching && rec.owner != from {
 		d.deliver(s, rec, f.Packet) // the owner has been found meanwhile
 		return
 	}
@@ -108,6 +104,10 @@
 		}
 		return
 	}
+	if rec == nil {
+		rec = &record{created: now}
+		s.flows[h.Flow] = rec
+	}
 	d.search(now, s, rec, h, f.Packet)
 }
 
