explain: counts flows by the cause of their end, and follows one flow through the logs

Cause: the ledger of lost requests existed only as commands typed by hand, and an operator had grep. The verb reads the logs of all processes, judges each flow by the line that decided it, and lists when processes were down or without the store. Sampled lines would make it blame the innocent, so processes now say once a second how many lines they left out.

--- a/internal/daemon/stdout.go
+++ b/internal/daemon/stdout.go
@@ -20,12 +20,22 @@
 	flushEvery = 100 * time.Millisecond
 )
 
+// LeftOutMessage is the message of the lines that count those left out.
+const LeftOutMessage = "lines left out"
+
+// leftOut is what was last told of the lines that were left out.
+type leftOut struct {
+	count int64
+	at    time.Time
+}
+
 // Lines writes log lines in the background. It never blocks its callers: lines
 // that find the queue full are counted and dropped.
 type Lines struct {
 	queue   chan []byte
 	dropped atomic.Int64
 	sampled atomic.Int64
+	log     atomic.Pointer[zap.Logger]
 	done    chan error
 }
 
@@ -61,15 +71,18 @@
 
 func (l *Lines) run(ctx context.Context, w io.Writer) error {
 	var batch []byte
+	var told leftOut
 	for {
 		select {
 		case <-ctx.Done():
+			l.tellLeftOut(&leftOut{count: told.count})
 			_, err := w.Write(l.drain(batch))
 			return err
 		case line := <-l.queue:
 			batch = append(batch, line...)
 		}
 		time.Sleep(flushEvery)
+		l.tellLeftOut(&told)
 		batch = l.drain(batch)
 		if _, err := w.Write(batch); err != nil {
 			return err
@@ -78,6 +91,19 @@
 	}
 }
 
+// TellLeftOut makes the lines that are left out show in the log as lines of
+// their own, one a second at most.
+func (l *Lines) TellLeftOut(log *zap.Logger) { l.log.Store(log) }
+
+func (l *Lines) tellLeftOut(told *leftOut) {
+	log, n := l.log.Load(), l.dropped.Load()+l.sampled.Load()
+	if log == nil || n == told.count || time.Since(told.at) < logPeriod {
+		return
+	}
+	log.Info(LeftOutMessage, zap.Int64("count", n-told.count))
+	told.count, told.at = n, time.Now()
+}
+
 // drain appends what is queued, up to a batch.
 func (l *Lines) drain(batch []byte) []byte {
 	for len(batch) < batchBytes {
--- a/internal/daemon/stdout_test.go
+++ b/internal/daemon/stdout_test.go
@@ -55,3 +55,20 @@
 	is.Equal(written+lines.Sampled()+lines.Dropped(), int64(1001))
 	is.True(bytes.Contains(out.Bytes(), []byte("entry stopped")))
 }
+
+// TestLinesLeftOutAreTold covers a reader of the logs, who has to know that
+// lines are missing.
+func TestLinesLeftOutAreTold(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	lines := daemon.NewLines(ctx, &out)
+	log := daemon.NewLineLogger(lines)
+	lines.TellLeftOut(log)
+	for range 1000 {
+		log.Info("placed")
+	}
+	cancel()
+	is.NoErr(<-lines.Done())
+	is.True(bytes.Contains(out.Bytes(), []byte(daemon.LeftOutMessage)))
+}
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,110 @@
+package explain
+
+import (
+	"slices"
+	"time"
+)
+
+// Cause is why a flow ended without its caller's or upstream's will, or could
+// not be opened.
+type Cause string
+
+// The causes.
+const (
+	// UpstreamEnded: the agent saw its upstream leave, end or start anew.
+	UpstreamEnded Cause = "upstream-ended"
+	// UpstreamRestarted: an entry heard of another start of the upstream.
+	UpstreamRestarted Cause = "upstream-restarted"
+	// FlowLost: a packet came for a flow that no upstream holds.
+	FlowLost Cause = "flow-held-by-nobody"
+	// ResetByUpstream: the upstream itself reset the flow.
+	ResetByUpstream Cause = "reset-by-upstream"
+	// UpstreamsBusy: no upstream took the opening.
+	UpstreamsBusy Cause = "upstreams-busy"
+	// NoUpstream: no upstream of the service was known.
+	NoUpstream Cause = "no-upstream-known"
+	// RouteDropped: the configuration has no route for the address.
+	RouteDropped Cause = "no-route"
+	// SearchUncertain: not all that may hold the flow have answered.
+	SearchUncertain Cause = "search-uncertain"
+	// SearchUnanswered: a search was started and nothing came of it.
+	SearchUnanswered Cause = "search-unanswered"
+	// OpeningUnanswered: an opening was sent to an agent and not taken.
+	OpeningUnanswered Cause = "opening-unanswered"
+	// LinesLeftOut: something may have been answered, but lines of that time
+	// were left out of the logs.
+	LinesLeftOut Cause = "unknown-lines-left-out"
+)
+
+// leftOutSpan is how long before its line the left-out lines may lie: the
+// period of the sampling, and as long again for a late writer.
+const leftOutSpan = 2 * time.Second
+
+// Verdict is what became of a flow.
+type Verdict struct {
+	Flow  string
+	Cause Cause // empty if nothing went wrong
+	At    time.Time
+	// Line is the line that says so.
+	Line Line
+}
+
+// endings are the decisions after which the caller was reset.
+var endings = map[string]Cause{
+	"upstream-gone":        UpstreamRestarted,
+	"reset-upstream-ended": UpstreamEnded,
+	"reset-by-upstream":    ResetByUpstream,
+	"found-nobody":         FlowLost,
+	"no-taker":             UpstreamsBusy,
+	"no-route":             RouteDropped,
+	"route-dropped":        RouteDropped,
+}
+
+// waits are the decisions after which something has to follow.
+var waits = map[string]Cause{
+	"searched":               SearchUnanswered,
+	"searched-all":           SearchUnanswered,
+	"found-nobody-uncertain": SearchUncertain,
+	"placed":                 OpeningUnanswered,
+	"placed-again":           OpeningUnanswered,
+}
+
+// answers are the decisions that end a wait.
+var answers = map[string]bool{"found": true, "taken": true}
+
+// judge returns what became of a flow. The first reset counts, as the caller
+// gives the flow up; without one, a wait that nothing has answered. leftOut
+// holds the moments, in order, at which lines were said to be left out.
+func judge(flow string, lines []Line, leftOut []time.Time) Verdict {
+	v := ending(flow, lines)
+	if waits[v.Line.Message] != "" && anyIn(leftOut, v.At, v.At.Add(leftOutSpan)) {
+		v.Cause = LinesLeftOut
+	}
+	return v
+}
+
+// anyIn reports whether one of the moments, which are in order, lies between
+// two others.
+func anyIn(moments []time.Time, from, to time.Time) bool {
+	i, _ := slices.BinarySearchFunc(moments, from, time.Time.Compare)
+	return i < len(moments) && moments[i].Before(to)
+}
+
+func ending(flow string, lines []Line) Verdict {
+	v := Verdict{Flow: flow}
+	for _, line := range lines {
+		if cause, ok := endings[line.Message]; ok {
+			if cause == UpstreamsBusy && line.Tried == 0 {
+				cause = NoUpstream
+			}
+			return Verdict{Flow: flow, Cause: cause, At: line.At, Line: line}
+		}
+		if cause, ok := waits[line.Message]; ok {
+			v.Cause, v.At, v.Line = cause, line.At, line
+		}
+		if answers[line.Message] {
+			v = Verdict{Flow: flow}
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/explain/line.go
@@ -0,0 +1,115 @@
+// Package explain reads the log lines that entries and agents write, and tells
+// what became of each flow and why.
+//
+// # Usage
+//
+//	var l explain.Logs
+//	l.Read(file)                 // once for each file, in any order
+//	l.Summary().Write(os.Stdout) // flows by cause, and processes that were down
+//	l.Flow(name).Write(os.Stdout)
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hickoryhook.example/internal/daemon"
+)
+
+// maxLine is the longest line that is read, in bytes: 100 times the longest
+// that the processes write.
+const maxLine = 64 << 10
+
+type (
+	// Line is one log line. Fields that a line does not have are zero.
+	Line struct {
+		At       time.Time `json:"ts"`
+		Message  string    `json:"msg"`
+		Process  string    `json:"node"`
+		Flow     string    `json:"flow"`
+		Agent    string    `json:"agent"`    // address of the agent that was chosen or answered
+		Entry    string    `json:"entry"`    // address of the entry that sent a frame
+		Upstream string    `json:"upstream"` // id
+		Load     float64   `json:"load"`     // work for each slot
+		AgeMS    float64   `json:"age-ms"`   // of the report or search that decided
+		Config   uint64    `json:"config"`   // version
+		Tried    int       `json:"tried"`    // agents asked
+		Error    string    `json:"error"`
+		// Text is the whole line.
+		Text string `json:"-"`
+	}
+
+	// Logs holds the lines of any number of processes.
+	Logs struct {
+		lines      []Line
+		sorted     bool
+		unreadable int
+	}
+)
+
+// Read adds the lines of one file. What stands before a line's first brace,
+// such as a collector's stamp, is passed over. Lines that are not log lines are
+// counted.
+func (l *Logs) Read(r io.Reader) error {
+	l.sorted = false
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		if at := bytes.IndexByte(text, '{'); at > 0 {
+			text = text[at:]
+		}
+		if len(text) == 0 {
+			continue
+		}
+		var line Line
+		if err := json.Unmarshal(text, &line); err != nil || line.Message == "" || line.At.IsZero() {
+			l.unreadable++
+			continue
+		}
+		line.Text = string(text)
+		l.lines = append(l.lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(err, "log lines")
+	}
+	return nil
+}
+
+// all returns the lines in order of time.
+func (l *Logs) all() []Line {
+	if !l.sorted {
+		slices.SortStableFunc(l.lines, func(a, b Line) int { return a.At.Compare(b.At) })
+		l.sorted = true
+	}
+	return l.lines
+}
+
+// leftOut returns the moments at which processes said that they had left out
+// lines.
+func (l *Logs) leftOut() []time.Time {
+	var out []time.Time
+	for _, line := range l.all() {
+		if line.Message == daemon.LeftOutMessage {
+			out = append(out, line.At)
+		}
+	}
+	return out
+}
+
+// byFlow returns the lines of each flow in order of time.
+func (l *Logs) byFlow() map[string][]Line {
+	flows := make(map[string][]Line)
+	for _, line := range l.all() {
+		if line.Flow != "" {
+			flows[line.Flow] = append(flows[line.Flow], line)
+		}
+	}
+	return flows
+}
--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -30,6 +30,8 @@
 		mu   sync.Mutex
 		to   map[segment.Flow]chan segment.Head
 		port uint16
+		// first is the first flow that was opened.
+		first segment.Flow
 
 		asked, answered, lost, resets, broken int
 	}
@@ -119,6 +121,9 @@
 	flow := segment.NewFlow(netip.AddrPortFrom(c.site.host(callerHost), c.port), vip)
 	l := &line{flow: flow, packets: make(chan segment.Head, 8), seq: uint32(c.port) << 12}
 	c.to[flow] = l.packets
+	if c.first == (segment.Flow{}) {
+		c.first = flow
+	}
 	c.mu.Unlock()
 	h, ok := c.exchange(l, segment.Head{Flow: flow, Flags: segment.Open, Sequence: l.seq}, func(h segment.Head) bool {
 		return h.Has(segment.Open | segment.Ack)
@@ -182,7 +187,7 @@
 func (c *callers) seen() Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Report{Asked: c.asked, Answered: c.answered, Lost: c.lost, Resets: c.resets, Broken: c.broken}
+	return Report{Asked: c.asked, Answered: c.answered, Lost: c.lost, Resets: c.resets, Broken: c.broken, Flow: c.first.String()}
 }
 
 func (c *callers) count(n *int) {
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -39,8 +39,10 @@
 		Lost     int `json:"lost"`
 		Resets   int `json:"resets"`
 		// Broken counts resets of flows that a living upstream held.
-		Broken int            `json:"broken"`
-		Calls  map[string]int `json:"calls-to-the-store"`
+		Broken int `json:"broken"`
+		// Flow is the first flow that a caller opened, as the logs name it.
+		Flow  string         `json:"first-flow"`
+		Calls map[string]int `json:"calls-to-the-store"`
 	}
 )
 
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -153,14 +153,15 @@
 
 // runHere runs a process's code in this process.
 func (s *site) runHere(role string, settings *platform.Settings) (func() error, error) {
+	log := s.log.With(zap.String("node", settings.Node))
 	if role == roleEntry {
-		e, err := fleet.NewEntry(settings, s.log)
+		e, err := fleet.NewEntry(settings, log)
 		if err != nil {
 			return nil, err
 		}
 		return start(e), nil
 	}
-	a, err := fleet.NewAgent(settings, s.log)
+	a, err := fleet.NewAgent(settings, log)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/verb/explain.go
@@ -0,0 +1,76 @@
+package verb
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"hickoryhook.example/internal/explain"
+)
+
+const explainUsage = `usage: hickoryhook explain [flags] FILE...
+
+Reads the logs of entries and agents of the platform, in any order, and counts
+flows by what ended them; "-" reads standard input. It also lists when
+processes were down or without the store.
+
+  -flow FLOW   print the lines of one flow, "CALLER>ADDRESS" with ports, and the
+               cause of its end
+
+Example: hickoryhook explain -flow '100.64.0.7:1028>198.18.0.1:8080' *.log
+`
+
+type explainRunner struct {
+	env   environment
+	flow  string
+	files []string
+}
+
+func explainVerb() command {
+	return command{
+		name:    "explain",
+		summary: "why flows ended, from the logs",
+		usage:   explainUsage,
+		parse:   parseExplain,
+	}
+}
+
+func parseExplain(args []string, env environment) (runner, error) {
+	r := &explainRunner{env: env}
+	flags := newFlags("explain")
+	flags.StringVar(&r.flow, "flow", "", "")
+	if err := flags.Parse(args); err != nil {
+		return nil, asUsage(err)
+	}
+	if flags.NArg() == 0 {
+		return nil, &usageError{err: errors.New("explain: want at least one file")}
+	}
+	r.files = flags.Args()
+	return r, nil
+}
+
+func (r *explainRunner) run(context.Context) error {
+	var logs explain.Logs
+	for _, name := range r.files {
+		if err := readLogs(&logs, name); err != nil {
+			return err
+		}
+	}
+	if r.flow != "" {
+		return logs.Flow(r.flow).Write(r.env.stdout)
+	}
+	return logs.Summary().Write(r.env.stdout)
+}
+
+func readLogs(logs *explain.Logs, name string) (err error) {
+	if name == "-" {
+		return logs.Read(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "explain")
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	return logs.Read(file)
+}
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -78,6 +78,7 @@
 		err = errors.Join(err, <-lines.Done())
 	}()
 	log := daemon.NewLineLogger(lines).With(zap.String("node", s.Node))
+	lines.TellLeftOut(log)
 	p, err := r.start(s, log,
 		fleet.WithGauge("log-lines-dropped", func() any { return lines.Dropped() }),
 		fleet.WithGauge("log-lines-sampled", func() any { return lines.Sampled() }))
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -68,6 +68,7 @@
 		benchVerb(),
 		standInVerb(),
 		checkSettingsVerb(),
+		explainVerb(),
 	}
 }
 
@@ -164,13 +165,19 @@
 // parseFlags parses the arguments and wants the given number of operands.
 func parseFlags(flags *flag.FlagSet, args []string, operands int) error {
 	if err := flags.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return err
-		}
-		return &usageError{err: err}
+		return asUsage(err)
 	}
 	if flags.NArg() != operands {
 		return &usageError{err: errors.Errorf("%s: want %d operands, got %d", flags.Name(), operands, flags.NArg())}
 	}
 	return nil
 }
+
+// asUsage returns an error of the flag package as a wrong command line, and a
+// call for help as it is.
+func asUsage(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &usageError{err: err}
+}
