Slow entries leave rotation, and failing upstreams get no new flows

An entry measures how long packets wait in its socket by a datagram to itself, and is not ready while that is too long and its neighbours are enough. An agent judges its upstream by resets of flows in use. Proactive resets of the failing upstream's other flows were tried and left out: it may serve them yet.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -178,7 +178,11 @@
 }
 
 func (a *Agent) fromUpstream(_ netip.AddrPort, b []byte) error {
-	return a.relay.FromUpstream(a.now(), b)
+	news, err := a.relay.FromUpstream(a.now(), b)
+	if news {
+		a.report()
+	}
+	return err
 }
 
 func (a *Agent) status() peer.Status {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -43,10 +43,14 @@
 	callers  *net.UDPConn
 	config   *configSync
 	stopping atomic.Bool
-	lastPkt  atomic.Int64
-	greetMu  sync.Mutex
-	greetAt  map[peer.Addr]time.Duration
-	lastTick time.Duration
+	lag      *lagProbe
+	overload overload // of the task that ticks
+	// overloaded says that the entry is too slow for what it gets.
+	overloaded atomic.Bool
+	lastPkt    atomic.Int64
+	greetMu    sync.Mutex
+	greetAt    map[peer.Addr]time.Duration
+	lastTick   time.Duration
 
 	registryRead bool // of the task that finds processes
 	greetings    atomic.Uint32
@@ -62,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{process: p, callers: conn, greetAt: make(map[peer.Addr]time.Duration)}
+	e := &Entry{process: p, callers: conn, lag: newLagProbe(p.peers, conn), greetAt: make(map[peer.Addr]time.Duration)}
 	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithPlace(s.Place))
 	e.config = newConfigSync(p, e.director, e.greetAlive)
 	return e, nil
@@ -144,7 +148,7 @@
 
 // ready reports whether the entry can serve callers.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.director.Config() != nil && e.director.Reachable(e.now())
+	return !e.stopping.Load() && !e.overloaded.Load() && e.director.Config() != nil && e.director.Reachable(e.now())
 }
 
 func (e *Entry) otherSeeds() []peer.Addr {
@@ -184,8 +188,11 @@
 	e.log.Info(string(d.Event), fields...)
 }
 
-func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) error {
+func (e *Entry) fromCaller(from netip.AddrPort, b []byte) error {
 	now := e.now()
+	if e.lag.received(now, from, b) {
+		return nil
+	}
 	e.lastPkt.Store(int64(now))
 	return e.director.FromCaller(now, b)
 }
@@ -321,6 +328,7 @@
 	since := now - e.lastTick
 	e.lastTick = now
 	e.director.Tick(now, since)
+	e.watchLoad(now)
 }
 
 // hurry reports whether the entry cannot serve yet.
--- /dev/null
+++ b/internal/fleet/lag.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"hickoryhook.example/internal/daemon"
+)
+
+const (
+	// lagProbeBytes is the length of a probe: shorter than any packet.
+	lagProbeBytes = 8
+	// lagLost is the wait after which a probe is taken as dropped by a full
+	// socket. No socket that is read holds a second's packets.
+	lagLost = time.Second
+)
+
+// lagProbe measures how long packets wait in the socket for callers' packets:
+// the process sends itself a datagram now and then.
+type lagProbe struct {
+	peers *net.UDPConn
+	to    netip.AddrPort // the socket for callers' packets
+	from  netip.AddrPort
+
+	mu      sync.Mutex
+	number  uint64
+	sentAt  time.Duration
+	waiting bool
+	lag     time.Duration // of the last probe
+}
+
+func newLagProbe(peers, callers *net.UDPConn) *lagProbe {
+	return &lagProbe{peers: peers, to: localAddress(callers), from: localAddress(peers)}
+}
+
+func localAddress(conn *net.UDPConn) netip.AddrPort {
+	a := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// send sends a probe unless one is on its way, and returns how long the last
+// one took, or how long the present one has been on its way if that is longer.
+func (l *lagProbe) send(now time.Duration) (time.Duration, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting && now-l.sentAt < lagLost {
+		return max(l.lag, now-l.sentAt), nil
+	}
+	if l.waiting {
+		l.lag = now - l.sentAt
+	}
+	l.number++
+	l.sentAt, l.waiting = now, true
+	var b [lagProbeBytes]byte
+	binary.BigEndian.PutUint64(b[:], l.number)
+	if _, err := l.peers.WriteToUDPAddrPort(b[:], l.to); err != nil {
+		return l.lag, errors.Wrap(err, "probe of the own socket")
+	}
+	return l.lag, nil
+}
+
+// received reports whether a datagram is a probe, and takes it in.
+func (l *lagProbe) received(now time.Duration, from netip.AddrPort, b []byte) bool {
+	if len(b) != lagProbeBytes || netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) != l.from {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting && binary.BigEndian.Uint64(b) == l.number {
+		l.waiting, l.lag = false, now-l.sentAt
+	}
+	return true
+}
+
+// watchLoad takes the entry out of rotation while packets wait too long in its
+// socket and others of its place can do the work.
+func (e *Entry) watchLoad(now time.Duration) {
+	lag, err := e.lag.send(now)
+	if err != nil {
+		e.log.Warn("lag not measured", daemon.Err(err))
+		return
+	}
+	e.counts.measure("waiting-in-socket", lag)
+	ready, away := tally(now, e.entries.neighbours(e.settings.Place))
+	if !e.overload.observe(now, lag, enough(ready, away)) {
+		return
+	}
+	e.overloaded.Store(e.overload.on)
+	e.greet()
+	if e.overload.on {
+		e.log.Warn("overloaded, not ready", zap.Duration("lag", lag), zap.Int("ready-neighbours", ready), zap.Duration("at-least", e.overload.hold))
+		return
+	}
+	e.log.Info("no longer overloaded", zap.Duration("lag", lag))
+}
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -38,7 +38,17 @@
 	if waited >= waitAtMost {
 		return true
 	}
-	ready, away := 0, 0
+	ready, away := tally(now, neighbours)
+	return away == 0 || enough(ready, away)
+}
+
+// enough reports whether the routers send to the ready neighbours alone if this
+// entry is not ready: if they are half of the place's entries at least.
+func enough(ready, away int) bool { return ready > 0 && 2*ready >= 1+ready+away }
+
+// tally counts the neighbours that the routers send to, and those that may be
+// back soon.
+func tally(now time.Duration, neighbours []neighbour) (ready, away int) {
 	for _, n := range neighbours {
 		switch {
 		case n.ready && now-n.heard <= entryLost && (n.readySince == 0 || now-n.readySince >= noticed):
@@ -47,5 +57,5 @@
 			away++
 		}
 	}
-	return away == 0 || 2*ready >= 1+ready+away
+	return ready, away
 }
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// FailUpstream lets the upstream reset its flows with their next request, for
+// the given time. It accepts new ones meanwhile.
+func (i *Instance) FailUpstream(d time.Duration) {
+	u := i.upstream
+	if u == nil {
+		return
+	}
+	u.failing = true
+	i.world.After(d, func() { u.failing = false })
+}
+
 // PowerOff takes power from the instance and gives it back.
 func (i *Instance) PowerOff(down time.Duration) {
 	if i.removed {
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -25,6 +25,7 @@
 		born     int64
 		beats    uint64
 		draining bool
+		failing  bool // resets each flow with its next request
 		// drainAcked is when the agent acknowledged it, 0 if it has not.
 		drainAcked time.Duration
 		flows      map[segment.Flow]*served
@@ -48,9 +49,9 @@
 }
 
 // receive handles a packet of the agent.
-func (u *upstream) receive(packet []byte) {
+func (u *upstream) receive(b []byte) {
 	w := u.instance.world
-	h, err := w.codec.FromCaller(packet)
+	h, err := w.codec.FromCaller(b)
 	if err != nil {
 		w.count("malformed")
 		return
@@ -64,7 +65,7 @@
 		if !w.allowed[h.Flow.VIP()][u.instance.service] {
 			w.count("strayed")
 		}
-		u.bounce(packet)
+		u.bounce(b)
 		return
 	}
 	if h.Has(segment.Fin) {
@@ -74,6 +75,12 @@
 	if h.Length == 0 {
 		return
 	}
+	if u.failing {
+		w.count("reset-by-upstream")
+		delete(u.flows, h.Flow)
+		u.send(packet(h.Flow, true, segment.Reset, f.next, 0, 0))
+		return
+	}
 	if h.Sequence != f.want {
 		if f.last != nil && !f.busy {
 			u.send(f.last)
@@ -154,9 +161,13 @@
 	if !i.agentUp || i.upstream != u {
 		return
 	}
-	if err := i.relay.FromUpstream(i.world.now(), append([]byte(nil), b...)); err != nil {
+	news, err := i.relay.FromUpstream(i.world.now(), append([]byte(nil), b...))
+	if err != nil {
 		i.world.count("malformed")
 	}
+	if news {
+		i.report()
+	}
 }
 
 // bounce returns a packet that belongs to no flow here.
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -14,12 +14,7 @@
 func (m *members) forOpening(now time.Duration, service peer.ServiceID, hash uint64) ([]peer.Addr, float64, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var able []*agent
-	for _, a := range m.byService[service] {
-		if a.status.Taking && !a.leaving && now-a.heard <= suspectAfter {
-			able = append(able, a)
-		}
-	}
+	able := m.able(now, service)
 	if len(able) == 0 {
 		return nil, 0, 0
 	}
@@ -32,6 +27,26 @@
 	return addresses(choices), load, age
 }
 
+// able returns the agents of a service that take new flows. Those whose
+// upstreams fail are left out, unless that leaves less than half: then it is
+// likelier that something else is wrong, and the rest could not carry the load.
+func (m *members) able(now time.Duration, service peer.ServiceID) []*agent {
+	var able, failing []*agent
+	for _, a := range m.byService[service] {
+		switch {
+		case !a.status.Taking || a.leaving || now-a.heard > suspectAfter:
+		case a.status.Failing:
+			failing = append(failing, a)
+		default:
+			able = append(able, a)
+		}
+	}
+	if len(able) < len(failing) {
+		able = append(able, failing...)
+	}
+	return able
+}
+
 // others returns the agents of a service that are not on a list and might take
 // a new flow all the same.
 func (m *members) others(now time.Duration, service peer.ServiceID, tried []peer.Addr) []peer.Addr {
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -65,6 +65,7 @@
 		Upstream string `json:"upstream"`
 		Place    string `json:"place"`
 		Taking   bool   `json:"taking"`
+		Failing  bool   `json:"failing"`
 		Flows    int    `json:"flows"`
 		Running  int    `json:"running"`
 		Slots    int    `json:"slots"`
@@ -252,7 +253,7 @@
 	for _, a := range m.agents {
 		out = append(out, AgentStatus{
 			Agent: a.address.String(), Service: a.status.Service, Upstream: a.status.Upstream, Place: a.status.Place,
-			Taking: a.status.Taking, Flows: a.status.Flows, Running: a.status.Running, Slots: a.status.Slots,
+			Taking: a.status.Taking, Failing: a.status.Failing, Flows: a.status.Flows, Running: a.status.Running, Slots: a.status.Slots,
 			AgeMS: (now - a.heard).Milliseconds(),
 		})
 	}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -25,6 +25,8 @@
 		// Empty says that no upstream runs beside the agent, so that it holds
 		// no flows.
 		Empty bool `cbor:"12,keyasint,omitempty"`
+		// Failing says that the upstream resets too many of its flows.
+		Failing bool `cbor:"13,keyasint,omitempty"`
 		// Slots is how many requests the upstream serves at once.
 		Slots int `cbor:"7,keyasint,omitempty"`
 		// ColdFor is how much longer the upstream serves slowly, in
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -114,6 +114,7 @@
 		open      int
 		active    int // open flows whose callers were heard a moment ago
 		running   int
+		judge     judge
 		lifetime  time.Duration
 	}
 
@@ -163,6 +164,7 @@
 	ResetEnded  Event = "reset-upstream-ended"
 	ResetByIt   Event = "reset-by-upstream"
 	UnknownBack Event = "returned-without-context"
+	Failing     Event = "upstream-failing"
 )
 
 // The latencies that a relay measures.
@@ -234,7 +236,7 @@
 		r.deliver(now, f, h, s) // a copy: the upstream answers it again
 		return
 	}
-	if !r.takes(f) {
+	if !r.takes(now, f) {
 		r.passOn(f, h)
 		return
 	}
@@ -248,17 +250,24 @@
 }
 
 // takes decides whether the upstream is offered a new flow. A busy one leaves
-// its load in the frame and lets the other candidates have a look first.
-func (r *Relay) takes(f *peer.Frame) bool {
+// its load in the frame and lets the other candidates have a look first. One
+// that fails does the same with the highest load that may still be forced.
+func (r *Relay) takes(now time.Duration, f *peer.Frame) bool {
 	if f.Service != r.service || !r.alive || r.upstream.Draining {
 		return false
 	}
-	if f.Forced || r.running < r.upstream.Slots {
+	if f.Forced {
 		return true
 	}
-	load := uint8(min(loadUnit*r.running/max(1, r.upstream.Slots), math.MaxUint8))
-	if f.Best == 0 || load < f.BestLoad {
-		f.Best, f.BestLoad = f.Hop+1, load
+	load := loadUnit * r.running / max(1, r.upstream.Slots)
+	if r.running < r.upstream.Slots {
+		if r.judge.takes(now) {
+			return true
+		}
+		load = loadUnit * mostRunning
+	}
+	if shown := uint8(min(load, math.MaxUint8)); f.Best == 0 || shown < f.BestLoad {
+		f.Best, f.BestLoad = f.Hop+1, shown
 	}
 	return false
 }
@@ -327,24 +336,39 @@
 	r.port.ToProcess(to, r.buf)
 }
 
-// FromUpstream handles a packet that the upstream sent or returned.
-func (r *Relay) FromUpstream(now time.Duration, packet []byte) error {
+// FromUpstream handles a packet that the upstream sent or returned. It reports
+// whether other processes should hear at once how the upstream does.
+func (r *Relay) FromUpstream(now time.Duration, packet []byte) (news bool, err error) {
 	h, err := r.codec.FromUpstream(packet)
 	if err != nil {
-		return err
+		return false, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h.Has(segment.Bounced) {
 		r.bounced(h, packet)
-		return nil
-	}
-	if h.Has(segment.Reset) {
-		r.port.Decided(ResetByIt, h.Flow, nil)
+		return false, nil
 	}
+	s := r.flows[h.Flow]
+	inUse := s != nil && s.phase != closed && !s.callerDone && !s.upstreamDone
 	r.answered(now, h)
 	r.port.ToCaller(h.Flow, packet)
-	return nil
+	if !h.Has(segment.Reset) {
+		return false, nil
+	}
+	r.port.Decided(ResetByIt, h.Flow, nil)
+	return inUse && r.judgeReset(now, h.Flow), nil
+}
+
+// judgeReset takes in that the upstream has reset a flow in use, and reports
+// whether it counts as failing since. Its other flows stay: it may serve them
+// when their callers ask next.
+func (r *Relay) judgeReset(now time.Duration, flow segment.Flow) bool {
+	failing := r.judge.failed(now)
+	if failing {
+		r.port.Decided(Failing, flow, nil)
+	}
+	return failing
 }
 
 // bounced handles a packet that the upstream does not want.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -91,7 +91,7 @@
 // leave the relay since the last such line, in order; ">" alone is nothing.
 //
 //	beat ID SEQUENCE [draining] [born N]   the upstream's heartbeat
-//	leave ID | ended | tick SECONDS | assume
+//	leave ID | ended | tick SECONDS | wait MILLISECONDS | assume
 //	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME]       a packet of caller N
 //	accept N SEQ | answer N BYTES | rst N                  the upstream's packets
@@ -151,6 +151,8 @@
 		r.relay.Ended()
 	case "assume":
 		r.relay.Assume(2)
+	case "wait":
+		r.now += time.Duration(number(words, 1)) * time.Millisecond
 	case "tick":
 		r.now += time.Duration(number(words, 1)) * time.Second
 		r.relay.Tick(r.now)
@@ -161,18 +163,28 @@
 		p := r.packet(number(words, 2), segment.Ack, 2, uint32(number(words, 3)), number(words, 4))
 		return r.relay.FromProcess(r.now, r.frame(kind, words[5:], p))
 	case "accept":
-		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, segment.Open|segment.Ack, uint32(number(words, 2)), 2, 0))
+		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Open|segment.Ack, uint32(number(words, 2)), 2, 0))
 	case "answer":
-		return r.relay.FromUpstream(r.now, encode(caller(number(words, 1)), true, segment.Ack, 0, 0, number(words, 2)))
+		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Ack, 0, 0, number(words, 2)))
+	case "rst":
+		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Reset, 0, 0, 0))
 	case "bounce":
 		platform.MarkReturned(r.last)
-		return r.relay.FromUpstream(r.now, r.last)
+		return r.fromUpstream(r.last)
 	default:
 		return fmt.Errorf("command %q", words[0])
 	}
 	return nil
 }
 
+func (r *rig) fromUpstream(packet []byte) error {
+	news, err := r.relay.FromUpstream(r.now, packet)
+	if news {
+		r.out = append(r.out, "report")
+	}
+	return err
+}
+
 // frame returns a frame with this relay first on a list of two, or alone.
 func (r *rig) frame(kind peer.Kind, words []string, packet []byte) []byte {
 	f := peer.Frame{Kind: kind, Entry: entry, Service: peer.Service("maklerlink"), Packet: packet,
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -61,6 +61,7 @@
 	}
 	if h.Length > 0 && s.running {
 		r.port.Measured(Answering, now-s.since)
+		r.judge.succeeded(now)
 		r.setRunning(s, false)
 	}
 	if h.Has(segment.Fin) {
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -24,6 +24,7 @@
 		return false // of an earlier start, held up on its way
 	case !same && r.start != 0:
 		r.resetAll()
+		r.judge.restarted(now)
 	}
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.start = u, start
@@ -114,6 +115,7 @@
 		Born:     r.upstream.Born,
 		Taking:   r.alive && !r.upstream.Draining,
 		Empty:    r.gone,
+		Failing:  r.judge.failing(now),
 		Slots:    r.upstream.Slots,
 		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
 		Flows:    r.active,
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -50,6 +50,7 @@
 			"drain":          onFleet(eachInstanceFor((*fleetsim.Instance).Drain)),
 			"restart-agent":  onFleet(eachInstanceFor((*fleetsim.Instance).RestartAgent)),
 			"crash-upstream": onFleet(eachInstanceFor((*fleetsim.Instance).CrashUpstream)),
+			"fail-upstream":  onFleet(eachInstanceFor((*fleetsim.Instance).FailUpstream)),
 			"power-off":      onFleet(eachInstanceFor((*fleetsim.Instance).PowerOff)),
 			"cut":            onFleet(eachInstanceFor((*fleetsim.Instance).Cut)),
 			"vanish":         onFleet(eachInstanceFor(func(i *fleetsim.Instance, _ time.Duration) { i.Vanish() })),
