Entries that the store turns away learn from others which flows may be dead

Entries now ask others for the list and the holders together, from one that knows both; a registered agent that has not been heard is waited for 1.3 s, unless more than half are missing. An entry that does not know the holders no longer writes them to the store, where they would have replaced what it lacks.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -228,13 +228,12 @@
 	if err := c.apply(raw, from.String()); err != nil {
 		c.log.Warn("configuration of another entry", zap.Stringer("entry", from), daemon.Err(err))
 	}
-	c.fetchHolders(address)
 }
 
 // handler serves the configuration to other entries.
 func (c *configSync) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+holdersPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.director.Holders()) })
+	mux.HandleFunc("GET "+registrationsPath, c.serveRegistrations)
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		raw := c.raw
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -52,7 +52,9 @@
 	greetAt    map[peer.Addr]time.Duration
 	lastTick   time.Duration
 
-	registryRead bool // of the task that finds processes
+	// of the task that finds processes
+	registryRead bool
+	nextAsked    int
 	greetings    atomic.Uint32
 }
 
@@ -342,6 +344,7 @@
 		pause := registerFor
 		if err := e.findOnce(ctx); err != nil {
 			e.log.Warn("registrations not read", daemon.Err(err))
+			e.askEntries()
 			pause = retryPause
 		} else if !e.director.Settled(e.now()) {
 			pause = unsettledPause
@@ -361,7 +364,7 @@
 	if first {
 		e.config.takeHolders(r.holders)
 	}
-	e.director.Expect(r.agents)
+	e.director.Expect(e.now(), r.agents)
 	fresh := e.entries.add(e.now(), e.notSelf(r.entries)...)
 	e.message(peer.Hello, e.greeting(true, true), fresh...)
 	if first {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -198,6 +198,20 @@
 	return who, flags
 }
 
+// gauge returns a value of a process's metrics, nil if there is none.
+func (s *site) gauge(host byte, name string) any {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/debug/vars", s.ip(host), fleet.MetricsPort))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var vars map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return nil
+	}
+	return vars[name]
+}
+
 // TestPathOnLoopback runs an entry and an agent with their sockets against the
 // stand-in of the store.
 func TestPathOnLoopback(t *testing.T) {
@@ -278,5 +292,8 @@
 	is.NoErr(err)
 	s.run(second)
 	s.eventually("the second entry is ready", func() bool { return s.readyAt(4) })
+	// It knows from the first one which agents and services may hold flows, so
+	// that it can tell callers that their flows are gone.
+	s.eventually("the second entry is settled", func() bool { return s.gauge(4, "settled") == true })
 	s.store.Fail(kvstandin.Healthy)
 }
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
 	"hickoryhook.example/platform"
@@ -18,8 +16,6 @@
 	// holdersEvery bounds the writes of the holders during quick successions of
 	// configurations.
 	holdersEvery = 500 * time.Millisecond
-
-	holdersPath = "/holders"
 )
 
 // holdersChanged asks for a write of the services that may hold flows.
@@ -41,7 +37,12 @@
 			return nil
 		case <-c.holders:
 		}
-		if c.rank() == 0 {
+		// What this entry has pieced together must not replace what the store has.
+		_, informed := c.director.Informed()
+		switch {
+		case !informed:
+			c.holdersChanged()
+		case c.rank() == 0:
 			if err := c.putHolders(ctx); err != nil {
 				c.log.Warn("holders not written", daemon.Err(err))
 				c.holdersChanged()
@@ -74,19 +75,3 @@
 	}
 	c.director.MergeHolders(holders)
 }
-
-// fetchHolders asks another entry for the holders.
-func (c *configSync) fetchHolders(from netip.AddrPort) {
-	resp, err := c.client.Get("http://" + from.String() + holdersPath)
-	if err != nil {
-		c.log.Warn("holders not fetched", zap.Stringer("entry", from), daemon.Err(err))
-		return
-	}
-	defer resp.Body.Close()
-	holders := make(map[netip.AddrPort][]string)
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxConfig)).Decode(&holders); err != nil {
-		c.log.Warn("holders not fetched", zap.Stringer("entry", from), daemon.Err(err))
-		return
-	}
-	c.director.MergeHolders(holders)
-}
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -59,7 +59,7 @@
 	})
 	w.Every(0, registryEvery, func() bool {
 		if running() && !e.paused {
-			e.core.Expect(w.registered())
+			e.core.Expect(w.now(), w.registered())
 			e.core.Verified(w.now())
 		}
 		return running()
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -191,8 +191,15 @@
 func (d *Director) MergeHolders(holders map[netip.AddrPort][]string) { d.history.merge(holders) }
 
 // Expect takes in which agents are registered. Until all of them have been
-// heard, no flow is taken for dead.
-func (d *Director) Expect(agents []peer.Addr) { d.members.expect(agents) }
+// heard, or been waited for, no flow is taken for dead.
+func (d *Director) Expect(now time.Duration, agents []peer.Addr) { d.members.expect(now, agents) }
+
+// Informed returns the registered agents, and whether these and the services
+// that may hold flows are known, from the store or from another entry.
+func (d *Director) Informed() ([]peer.Addr, bool) {
+	agents, known := d.members.expects()
+	return agents, known && d.history.complete()
+}
 
 // Verified takes in that the configuration was the newest at a time.
 func (d *Director) Verified(at time.Duration) {
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,11 @@
 	// forgetAfter is the silence after which an agent is taken as gone. A
 	// restart of the agent alone is over well before.
 	forgetAfter = 10 * time.Second
+	// unheardAfter is how long a registered agent that has not been heard yet is
+	// waited for: as long as for one that has fallen silent. A list of agents may
+	// be old when all power was lost; what holds flows reports within one
+	// interval.
+	unheardAfter = suspectAfter
 	// settleAfter is how long after this process's start the living agents that
 	// know it have surely reported: an interval of reports and some slack.
 	settleAfter = 600 * time.Millisecond
@@ -46,8 +52,8 @@
 		mu        sync.RWMutex
 		agents    map[peer.Addr]*agent
 		byService map[peer.ServiceID][]*agent
-		pausedAt  time.Duration          // when this process last stood still
-		expected  map[peer.Addr]struct{} // registered agents, nil if not known
+		pausedAt  time.Duration               // when this process last stood still
+		expected  map[peer.Addr]time.Duration // registered agents and since when they are known to be, nil if not known
 		departed  map[peer.Addr]departure
 	}
 
@@ -196,13 +202,8 @@
 	if m.expected == nil || now < settleAfter || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
 		return false
 	}
-	for address := range m.expected {
-		if _, ok := m.agents[address]; ok {
-			continue
-		}
-		if _, ok := m.departed[address]; !ok {
-			return false
-		}
+	if !m.expectedHeard(now) {
+		return false
 	}
 	for _, a := range m.agents {
 		if !a.status.Empty && now-a.heard > suspectAfter {
@@ -212,16 +213,47 @@
 	return true
 }
 
+// expectedHeard reports whether the registered agents have been heard, but for
+// some that have been waited for in vain. Those may be half of all at most: with
+// more it is likelier that this instance is cut off.
+func (m *members) expectedHeard(now time.Duration) bool {
+	missing := 0
+	for address, since := range m.expected {
+		_, heard := m.agents[address]
+		_, departed := m.departed[address]
+		switch {
+		case heard || departed:
+		case now-since < unheardAfter:
+			return false
+		default:
+			missing++
+		}
+	}
+	return 2*missing <= len(m.expected)
+}
+
 // expect takes in which agents are registered.
-func (m *members) expect(agents []peer.Addr) {
+func (m *members) expect(now time.Duration, agents []peer.Addr) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expected = make(map[peer.Addr]struct{}, len(agents))
+	old := m.expected
+	m.expected = make(map[peer.Addr]time.Duration, len(agents))
 	for _, a := range agents {
-		m.expected[a] = struct{}{}
+		since, ok := old[a]
+		if !ok {
+			since = now
+		}
+		m.expected[a] = since
 	}
 }
 
+// expects returns the registered agents, and false if they are not known.
+func (m *members) expects() ([]peer.Addr, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Collect(maps.Keys(m.expected)), m.expected != nil
+}
+
 // reachable reports whether at least half of the agents are heard: with fewer
 // it is likelier that this instance is cut off than that they are gone.
 func (m *members) reachable(now time.Duration) bool {
