A start whose clock has jumped back is heard at once

An agent that started again after its clock had jumped back was ignored until its last start was forgotten, for 10 s. A lower incarnation is now an earlier one only while the other is still heard.

--- /dev/null
+++ b/pkg/director/incarnation_test.go
@@ -0,0 +1,51 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/platform"
+)
+
+// TestClockJumpsBackBetweenStarts covers an agent that starts again with a time
+// of day before that of its last start.
+func TestClockJumpsBackBetweenStarts(t *testing.T) {
+	agent := peer.Addr{10, 0, 0, 2}
+	report := func(d *director.Director, at time.Duration, incarnation int64, upstream string) {
+		d.Report(at, agent, peer.Status{Incarnation: incarnation, Sequence: 1, Service: "maklerlink", Upstream: upstream, Taking: true, Slots: 2})
+	}
+	for _, c := range []struct {
+		name     string
+		farewell bool
+		after    time.Duration // of the second report
+		second   int64
+		want     string
+	}{
+		{"newer start", false, 400 * time.Millisecond, 2000, "u-2"},
+		{"late report of an earlier start", false, 400 * time.Millisecond, 500, "u-1"},
+		{"clock has jumped back", false, 1500 * time.Millisecond, 500, "u-2"},
+		{"late report after a farewell", true, 400 * time.Millisecond, 1000, ""},
+		{"late report long after a farewell", true, 3 * time.Second, 1000, ""},
+		{"clock has jumped back after a farewell", true, 1500 * time.Millisecond, 500, "u-2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := director.New(peer.Addr{10, 0, 1, 1}, platform.Packets{}, nil)
+			const first = time.Second
+			report(d, first, 1000, "u-1")
+			if c.farewell {
+				d.Goodbye(first, agent, false)
+			}
+			report(d, first+c.after, c.second, "u-2")
+			got := ""
+			if known := d.Status(first + c.after); len(known) > 0 {
+				got = known[0].Upstream
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -108,7 +108,7 @@
 func (m *members) report(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d, ok := m.departed[from]; ok && status.Incarnation <= d.incarnation {
+	if d, ok := m.departed[from]; ok && late(status.Incarnation, d.incarnation, now-d.at) {
 		return false, false
 	}
 	a, ok := m.agents[from]
@@ -117,7 +117,10 @@
 		m.agents[from] = a
 	}
 	old := a.status
-	if ok && (status.Incarnation < old.Incarnation || status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence) {
+	if ok && status.Incarnation != old.Incarnation && late(status.Incarnation, old.Incarnation, now-a.heard) {
+		return false, false
+	}
+	if ok && status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence {
 		return false, false
 	}
 	if status.Upstream == "" && old.Service == status.Service {
@@ -133,6 +136,14 @@
 	return !ok, restarted
 }
 
+// late reports whether a report is of an incarnation that had ended when another
+// was last heard, some time ago. Incarnations are times of day, and that may
+// jump back between two starts: then the lower number is the newer start, which
+// shows in that the other has fallen silent.
+func late(incarnation, last int64, ago time.Duration) bool {
+	return incarnation == last || incarnation < last && ago <= suspectAfter
+}
+
 func (m *members) goodbye(now time.Duration, from peer.Addr, returns bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
