The soak harms connections to the store and lets upstreams crash and fail

A proxy stands between each process and the store: it delays, holds back one direction or both, and resets. Upstreams crash under their id and reset their flows. Processes' logs are kept when a promise was broken.

Trace: a copy of the opening had been accepted by a second upstream, whose answer the caller did not choose; the one it had chosen crashed. The check now asks the upstream that the caller has chosen, and callers ignore resets far from their numbers, as the platform's do.

--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -20,6 +20,9 @@
 	deadline     = 2 * time.Second
 	askEvery     = 250 * time.Millisecond
 	firstPort    = 1024
+	// resetWindow is how far the number of a reset may lie from what the
+	// caller acknowledged last, in bytes, as the platform's callers have it.
+	resetWindow = 76800
 )
 
 type (
@@ -41,7 +44,8 @@
 		flow     segment.Flow
 		packets  chan segment.Head
 		seq, ack uint32
-		closed   bool // the upstream has closed it with its last answer
+		first    uint32 // of the upstream
+		closed   bool   // the upstream has closed it with its last answer
 	}
 )
 
@@ -105,7 +109,7 @@
 	for {
 		select {
 		case h := <-l.packets:
-			if h.Has(segment.Reset) {
+			if l.resetBy(h) {
 				c.reset(l)
 				return true
 			}
@@ -115,6 +119,13 @@
 	}
 }
 
+// resetBy reports whether a packet ends the line: a reset whose number is far
+// from what the caller has acknowledged belongs to another opening of the flow.
+func (l *line) resetBy(h segment.Head) bool {
+	far := int32(h.Sequence - l.ack)
+	return h.Has(segment.Reset) && (l.ack == 0 || far >= -resetWindow && far <= resetWindow)
+}
+
 func (c *callers) open() (*line, bool) {
 	c.mu.Lock()
 	c.port++
@@ -129,7 +140,7 @@
 		return h.Has(segment.Open | segment.Ack)
 	})
 	l.seq++
-	l.ack = h.Sequence + 1
+	l.first, l.ack = h.Sequence, h.Sequence+1
 	return l, ok
 }
 
@@ -158,7 +169,7 @@
 		for {
 			select {
 			case got := <-l.packets:
-				if got.Has(segment.Reset) {
+				if l.resetBy(got) {
 					c.reset(l)
 					return got, false
 				}
@@ -177,7 +188,7 @@
 // reset counts the reset of a line, and whether a living upstream holds it.
 func (c *callers) reset(l *line) {
 	c.count(&c.resets)
-	if l.ack != 0 && c.site.holds(l.flow) {
+	if l.ack != 0 && c.site.holds(l.flow, l.first) {
 		c.count(&c.broken)
 		c.site.log.Error("flow reset though its upstream lives", zap.Stringer("flow", l.flow))
 	}
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,11 +12,15 @@
 )
 
 const (
-	entries   = 3
-	upstreams = 4
-	startup   = 10 * time.Second
-	drainFor  = 1500 * time.Millisecond
-	pause     = time.Second
+	defaultEntries   = 3
+	defaultUpstreams = 4
+	// MostEntries and MostUpstreams are what the addresses leave room for.
+	MostEntries   = firstUpstream - firstEntry
+	MostUpstreams = callerHost - firstUpstream
+	// startup bounds the start of a few hundred processes.
+	startup  = 30 * time.Second
+	drainFor = 1500 * time.Millisecond
+	pause    = time.Second
 )
 
 type (
@@ -27,6 +32,8 @@
 		Network byte
 		// Callers is how many flows are kept open.
 		Callers int
+		// Entries and Upstreams are how many of them run; 0 is 3 and 4.
+		Entries, Upstreams int
 		// Out receives a line for each step.
 		Out io.Writer
 		Log *zap.Logger
@@ -54,7 +61,7 @@
 		return Report{}, err
 	}
 	defer s.server.Close()
-	r := &runner{config: c, site: s}
+	r := newRunner(c, s)
 	defer r.cleanUp()
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
@@ -75,6 +82,16 @@
 	ends      []chan error
 }
 
+func newRunner(c Config, s *site) *runner {
+	if c.Entries == 0 {
+		c.Entries = defaultEntries
+	}
+	if c.Upstreams == 0 {
+		c.Upstreams = defaultUpstreams
+	}
+	return &runner{config: c, site: s}
+}
+
 func (r *runner) say(format string, args ...any) {
 	fmt.Fprintf(r.config.Out, format+"\n", args...)
 }
@@ -86,14 +103,14 @@
 }
 
 func (r *runner) start(ctx context.Context) error {
-	for n := range upstreams {
+	for n := range r.config.Upstreams {
 		u, err := r.site.startUpstream(n, r.config.Seed)
 		if err != nil {
 			return err
 		}
 		r.upstreams = append(r.upstreams, u)
 	}
-	for n := range entries {
+	for n := range r.config.Entries {
 		if _, err := r.site.startEntry(r.site.host(byte(firstEntry + n))); err != nil {
 			return err
 		}
@@ -101,12 +118,12 @@
 	work, cancel := context.WithCancel(ctx)
 	r.cancel = cancel
 	r.goes(func() error { r.site.probe(work); return nil })
-	for end := time.Now().Add(startup); r.site.readyEntries() < entries; time.Sleep(probeEvery / 5) {
+	for end := time.Now().Add(startup); r.site.readyEntries() < r.config.Entries; time.Sleep(probeEvery / 5) {
 		if time.Now().After(end) {
-			return errors.Errorf("%d of %d entries are ready after %s", r.site.readyEntries(), entries, startup)
+			return errors.Errorf("%d of %d entries are ready after %s", r.site.readyEntries(), r.config.Entries, startup)
 		}
 	}
-	r.say("%d entries are ready before %d upstreams", entries, upstreams)
+	r.say("%d entries are ready before %d upstreams", r.config.Entries, r.config.Upstreams)
 	c, err := newCallers(r.site)
 	if err != nil {
 		return err
@@ -124,7 +141,7 @@
 	if err := sleep(ctx, pause); err != nil {
 		return err
 	}
-	fresh, err := r.site.startUpstream(upstreams, r.config.Seed)
+	fresh, err := r.site.startUpstream(r.config.Upstreams, r.config.Seed)
 	if err != nil {
 		return err
 	}
@@ -135,7 +152,7 @@
 	if err := old.leave(drainFor); err != nil {
 		return err
 	}
-	for n := range entries {
+	for n := range r.config.Entries {
 		host := r.site.host(byte(firstEntry + n))
 		r.say("entry %s is replaced", host)
 		if err := r.replace(n); err != nil {
@@ -183,16 +200,22 @@
 	if r.cancel != nil {
 		r.cancel()
 	}
+	var stops []func() error
 	for _, u := range r.upstreams {
-		if err := u.stop(); err != nil {
-			r.config.Log.Warn("upstream", zap.Error(err))
-		}
+		stops = append(stops, u.stop)
 	}
 	for _, e := range r.site.entries {
-		if err := e.stop(); err != nil {
-			r.config.Log.Warn("entry", zap.Error(err))
-		}
+		stops = append(stops, e.stop)
+	}
+	var all sync.WaitGroup
+	for _, stop := range stops {
+		all.Go(func() {
+			if err := stop(); err != nil {
+				r.config.Log.Warn("not stopped", zap.Error(err))
+			}
+		})
 	}
+	all.Wait()
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -234,12 +234,13 @@
 	return s.at(best.address, portPackets), true
 }
 
-// holds reports whether a living upstream holds a flow.
-func (s *site) holds(flow segment.Flow) bool {
+// holds reports whether the upstream whose answer the caller has chosen lives
+// and holds the flow; first is that upstream's first number.
+func (s *site) holds(flow segment.Flow, first uint32) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.upstreams {
-		if u.holds(flow) {
+		if u.holds(flow, first) {
 			return true
 		}
 	}
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -44,6 +43,8 @@
 	// again whenever it ends, until it is stopped.
 	child struct {
 		program, role, settings string
+		proxy                   *proxy // between it and the store
+		log                     *os.File
 
 		mu      sync.Mutex
 		cmd     *exec.Cmd
@@ -60,21 +61,29 @@
 )
 
 // Soak runs entries and agents as processes of their own, stops, pauses and
-// kills them, crashes upstreams and lets the store misbehave, while callers keep
-// their flows open. It reports an error if a flow was reset whose upstream
-// lived, or if requests are lost after all has settled.
-func Soak(ctx context.Context, c SoakConfig) (Report, error) {
+// kills them, crashes upstreams, lets the store misbehave and harms the
+// connections to it, while callers keep their flows open. It reports an error
+// if a flow was reset whose upstream lived, or if requests are lost after all
+// has settled. Then the processes' logs stay in the directory that the error
+// names.
+func Soak(ctx context.Context, c SoakConfig) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "hickoryhook-soak-")
 	if err != nil {
 		return Report{}, errors.Wrap(err, "soak")
 	}
-	defer os.RemoveAll(dir)
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "logs in "+dir)
+			return
+		}
+		err = os.RemoveAll(dir)
+	}()
 	s, err := newSite(c.Network, c.Log)
 	if err != nil {
 		return Report{}, err
 	}
 	defer s.server.Close()
-	k := &soak{runner: runner{config: c.Config, site: s}, random: rand.New(rand.NewPCG(c.Seed, 1))}
+	k := &soak{runner: *newRunner(c.Config, s), random: rand.New(rand.NewPCG(c.Seed, 1))}
 	s.run = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
 	}
@@ -93,8 +102,7 @@
 		return Report{}, err
 	}
 	lost := k.callers.seen().Lost - before.Lost
-	report, err := k.stop()
-	if err != nil {
+	if report, err = k.stop(); err != nil {
 		return report, err
 	}
 	if report.Broken > 0 || lost > 0 {
@@ -122,8 +130,23 @@
 // fault draws a fault: its name and what it does.
 func (k *soak) fault() (string, func()) {
 	c := k.children[k.random.IntN(len(k.children))]
+	u := k.upstreams[k.random.IntN(len(k.upstreams))]
 	dark := k.upTo(soakDark)
-	switch n := k.random.IntN(6); n {
+	switch n := k.random.IntN(10); n {
+	case 6, 7:
+		fault := 1 + proxyFault(k.random.IntN(int(proxyFaults)-1))
+		return fmt.Sprintf("connections of %s to the store are harmed (%d) for %s", c.name(), fault, dark), func() {
+			c.proxy.set(fault)
+			time.Sleep(dark)
+			c.proxy.set(passes)
+		}
+	case 8:
+		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.id, dark), func() {
+			c.proxy.reset()
+			u.crash(dark)
+		}
+	case 9:
+		return fmt.Sprintf("upstream %s resets its flows for %s", u.id, dark), func() { u.fail(dark) }
 	case 0:
 		return "SIGTERM " + c.name(), func() { c.signal(syscall.SIGTERM) }
 	case 1:
@@ -153,7 +176,16 @@
 }
 
 func (k *soak) startChild(dir, program, role string, s *platform.Settings) (func() error, error) {
-	path := filepath.Join(dir, fmt.Sprintf("%s-%s.json", role, s.Address))
+	name := fmt.Sprintf("%s-%s", role, s.Address)
+	path := filepath.Join(dir, name+".json")
+	p, err := newProxy(s.Address.String(), s.Store.String())
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, errors.Join(errors.Wrap(err, "soak"), p.close())
+	}
 	b, err := json.Marshal(map[string]any{
 		"node-name": s.Node, "ip": s.Address, "zone": s.Place, "service": s.Service, "app": s.ToUpstream,
 		"listen": map[string]any{
@@ -161,7 +193,7 @@
 		},
 		"internal-ports": []uint16{s.PeerPort, s.PeerPort + 1}, "heartbeat-ms": s.Heartbeat.Milliseconds(),
 		"bounds":   map[string]any{"grace-s": s.Grace.Seconds(), "config-apply-ms": s.ConfigApply.Milliseconds(), "flow-lifetime-s": s.FlowLifetime.Seconds()},
-		"platform": map[string]any{"address": s.Store, "ttl-min-ms": s.LeaseMin.Milliseconds()},
+		"platform": map[string]any{"address": p.address(), "ttl-min-ms": s.LeaseMin.Milliseconds()},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
@@ -169,7 +201,7 @@
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
-	c := &child{program: program, role: role, settings: path, done: make(chan error, 1)}
+	c := &child{program: program, role: role, settings: path, proxy: p, log: log, done: make(chan error, 1)}
 	if err := c.exec(); err != nil {
 		return nil, err
 	}
@@ -183,7 +215,7 @@
 func (c *child) exec() error {
 	cmd := exec.Command(c.program, "platform", c.role)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+c.settings)
-	cmd.Stdout, cmd.Stderr = io.Discard, io.Discard
+	cmd.Stdout, cmd.Stderr = c.log, c.log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak")
 	}
@@ -225,11 +257,12 @@
 	c.mu.Unlock()
 	c.signal(syscall.SIGCONT)
 	c.signal(syscall.SIGTERM)
+	var err error
 	select {
-	case err := <-c.done:
-		return err
+	case err = <-c.done:
 	case <-time.After(soakKill):
 		c.signal(syscall.SIGKILL)
-		return <-c.done
+		err = <-c.done
 	}
+	return errors.Join(err, c.proxy.close(), c.log.Close())
 }
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -38,6 +38,10 @@
 		mu    sync.Mutex
 		flows map[segment.Flow]*held
 		gone  bool
+		born  int64 // Unix milliseconds
+		beats int   // of this start
+		down  bool  // neither answers nor calls
+		fails bool  // resets each flow with its next request
 	}
 
 	// held is a flow at an upstream.
@@ -65,7 +69,7 @@
 	u := &upstream{
 		site: s, id: fmt.Sprintf("u-%d", n), settings: settings, conn: conn, cancel: cancel,
 		health: &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
-		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}), flows: make(map[segment.Flow]*held),
+		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}), flows: make(map[segment.Flow]*held), born: time.Now().UnixMilli(),
 	}
 	u.stopAgent = stopAgent
 	s.mu.Lock()
@@ -116,22 +120,24 @@
 	return err
 }
 
-func (u *upstream) holds(flow segment.Flow) bool {
+func (u *upstream) holds(flow segment.Flow, first uint32) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.gone && u.flows[flow] != nil
+	f := u.flows[flow]
+	return !u.gone && f != nil && f.first == first
 }
 
 // beat tells the agent how the upstream does.
 func (u *upstream) beat(ctx context.Context) error {
-	for seq := 1; ctx.Err() == nil; seq++ {
+	for ctx.Err() == nil {
 		state := "ready"
 		draining := u.draining
 		if u.drains() {
 			state, draining = "draining", nil
 		}
-		u.call(http.MethodPut, fmt.Sprintf(
-			`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d}`, service, slots, state, seq))
+		if body, up := u.heartbeat(state); up {
+			u.call(http.MethodPut, body)
+		}
 		select {
 		case <-ctx.Done():
 		case <-draining:
@@ -141,6 +147,39 @@
 	return nil
 }
 
+// heartbeat returns the next heartbeat, and false while the upstream is down.
+func (u *upstream) heartbeat(state string) (string, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.beats++
+	return fmt.Sprintf(`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
+		service, slots, state, u.beats, u.born), !u.down
+}
+
+// crash loses the upstream's flows; it starts again under its id after a while.
+func (u *upstream) crash(down time.Duration) {
+	u.mu.Lock()
+	u.down, u.flows = true, make(map[segment.Flow]*held)
+	u.mu.Unlock()
+	time.Sleep(down)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.down, u.born, u.beats = false, time.Now().UnixMilli(), 0
+}
+
+// fail lets the upstream reset its flows with their next request for a while.
+func (u *upstream) fail(d time.Duration) {
+	u.setFails(true)
+	time.Sleep(d)
+	u.setFails(false)
+}
+
+func (u *upstream) setFails(fails bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fails = fails
+}
+
 func (u *upstream) call(method, body string) {
 	req, err := http.NewRequest(method, "http://"+u.settings.Control.String()+"/instances/"+u.id, strings.NewReader(body))
 	if err != nil {
@@ -179,6 +218,11 @@
 	defer u.mu.Unlock()
 	f := u.flows[h.Flow]
 	switch {
+	case u.down:
+		return nil, nil
+	case u.fails && f != nil && h.Length > 0:
+		delete(u.flows, h.Flow)
+		return u.packet(h.Flow, segment.Reset, f.next, 0, 0), nil
 	case h.Opens() && f == nil:
 		f = &held{first: u.random.Uint32(), want: h.Sequence + 1}
 		f.next = f.first + 1
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -14,22 +14,28 @@
 const platformSoakUsage = `usage: hickoryhook platform soak [flags]
 
 Runs entries and agents as processes of their own on loopback addresses, and
-stops, pauses, kills and restarts them while the stand-in of the store
-misbehaves and callers keep their flows open. Exit code 1 if a flow was reset
-whose upstream lived, or if requests are lost after all has settled.
+stops, pauses, kills and restarts them while upstreams crash or reset their
+flows, the stand-in of the store misbehaves, a proxy delays, cuts one way, holds
+or resets the connections to it, and callers keep their flows open. Exit code 1
+if a flow was reset whose upstream lived, or if requests are lost after all has
+settled; then the logs of the processes are kept.
 
-  -seed N      fixes the order of the faults (default 1)
-  -for D       how long faults go on (default 20s)
-  -callers N   flows that are kept open (default 40)
-  -network N   third number of the loopback addresses (default 92)
+  -seed N        fixes the order of the faults (default 1)
+  -for D         how long faults go on (default 20s)
+  -callers N     flows that are kept open (default 40)
+  -entries N     entries (default 3)
+  -upstreams N   upstreams, each with an agent (default 4)
+  -network N     third number of the loopback addresses (default 92)
 `
 
 type platformSoakRunner struct {
-	env     environment
-	seed    uint64
-	length  time.Duration
-	callers int
-	network int
+	env       environment
+	seed      uint64
+	length    time.Duration
+	callers   int
+	network   int
+	entries   int
+	upstreams int
 }
 
 func parsePlatformSoak(args []string, env environment) (runner, error) {
@@ -39,12 +45,17 @@
 	flags.DurationVar(&r.length, "for", 20*time.Second, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
+	flags.IntVar(&r.entries, "entries", 3, "")
+	flags.IntVar(&r.upstreams, "upstreams", 4, "")
 	if err := parseFlags(flags, args, 0); err != nil {
 		return nil, err
 	}
 	if r.callers < 1 || r.callers > maxDemoCallers || r.network < 1 || r.network > maxNetwork {
 		return nil, &usageError{err: errDemoRange}
 	}
+	if r.entries < 1 || r.entries > fleetdemo.MostEntries || r.upstreams < 1 || r.upstreams > fleetdemo.MostUpstreams {
+		return nil, &usageError{err: errors.Errorf("platform soak: want 1 to %d entries and 1 to %d upstreams", fleetdemo.MostEntries, fleetdemo.MostUpstreams)}
+	}
 	return r, nil
 }
 
@@ -59,7 +70,7 @@
 	}
 	report, err := fleetdemo.Soak(ctx, fleetdemo.SoakConfig{
 		Config: fleetdemo.Config{
-			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Out: r.env.stdout, Log: log,
+			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.env.stdout, Log: log,
 		},
 		Program: program, For: r.length,
 	})
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -68,7 +68,7 @@
 	rec.searchedAt = now
 	if d.asks.take(now) {
 		tried := 0
-		s.frame = peer.Owner{Kind: peer.Asked, Flow: h.Flow}.Append(s.frame[:0])
+		s.frame = peer.Owner{Kind: peer.Asked, Flow: h.Flow, Acknowledged: rec.acknowledged}.Append(s.frame[:0])
 		for _, l := range d.plan(now, h.Flow) {
 			for _, a := range l.agents {
 				d.port.ToProcess(a, s.frame)
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -185,8 +185,11 @@
 	Kind Kind
 	Flow segment.Flow
 	// Start identifies the start of the upstream, see StartOf; 0 if the agent
-	// does not know it yet.
+	// does not know it yet. Of Owned only.
 	Start uint32
+	// Acknowledged is what the caller acknowledged last, 0 if not known: two
+	// upstreams may have answered its opening. Of Asked only.
+	Acknowledged uint32
 }
 
 // StartOf returns a hash that differs between two starts of an upstream. It is
@@ -201,7 +204,11 @@
 // Append appends the encoded datagram to b.
 func (o Owner) Append(b []byte) []byte {
 	b = append(b, magic, byte(o.Kind), 0, 0)
-	b = binary.BigEndian.AppendUint32(b, o.Start)
+	number := o.Start
+	if o.Kind == Asked {
+		number = o.Acknowledged
+	}
+	b = binary.BigEndian.AppendUint32(b, number)
 	return o.Flow.Append(b)
 }
 
@@ -211,7 +218,10 @@
 		return ErrFrame
 	}
 	o.Kind = Kind(b[1])
-	o.Start = binary.BigEndian.Uint32(b[4:])
+	o.Start, o.Acknowledged = binary.BigEndian.Uint32(b[4:]), 0
+	if o.Kind == Asked {
+		o.Start, o.Acknowledged = 0, o.Start
+	}
 	flow, err := segment.DecodeFlow(b[8:])
 	o.Flow = flow
 	return err
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -223,7 +223,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.flows[o.Flow]; s != nil && s.phase == accepted {
+	asked := segment.Head{Flow: o.Flow, Flags: segment.Ack, Acknowledged: o.Acknowledged}
+	if s := r.flows[o.Flow]; s != nil && s.phase == accepted && (o.Acknowledged == 0 || s.owns(asked)) {
 		r.announce(o.Flow, s, entry)
 	}
 	return nil
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -95,6 +95,7 @@
 //	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME]       a packet of caller N
 //	accept N SEQ | answer N BYTES | rst N                  the upstream's packets
+//	asked N ACK                      an entry asks who holds the flow of caller N
 //	bounce                           the upstream returns the last packet it got
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -162,6 +163,9 @@
 		kind := map[string]peer.Kind{"deliver": peer.Deliver, "search": peer.Search}[words[1]]
 		p := r.packet(number(words, 2), segment.Ack, 2, uint32(number(words, 3)), number(words, 4))
 		return r.relay.FromProcess(r.now, r.frame(kind, words[5:], p))
+	case "asked":
+		o := peer.Owner{Kind: peer.Asked, Flow: caller(number(words, 1)), Acknowledged: uint32(number(words, 2))}
+		return r.relay.Asked(entry, o.Append(nil))
 	case "accept":
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Open|segment.Ack, uint32(number(words, 2)), 2, 0))
 	case "answer":
