The soak's upstream loses its flows at each new start

Trace: two crashes of one stand-in overlapped; the end of the longer one announced a new start that still held the flows opened since the shorter one had ended. The agent's reset was right, the stand-in was not.

--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -164,6 +164,8 @@
 	time.Sleep(down)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	// Another crash may have ended meanwhile; a new start holds nothing either.
+	u.flows = make(map[segment.Flow]*held)
 	u.down, u.born, u.beats = false, time.Now().UnixMilli(), 0
 }
 
