Flows that a restarted upstream has taken already are not reset

The agent then heard of the new start and reset all its flows, 2 to 10 living ones at once, and the entries did the same from the agent's report. The agent now keeps flows of which the upstream has sent anything since its start (its age by the clock they share), and tells their entries which start holds them. A start with a lower time of day is believed once the newer one has been silent for 3 s: the clock may have jumped back, and such a start was ignored without end.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -240,7 +240,7 @@
 	a.lastBeat.Store(int64(now))
 	a.ended.Store(false)
 	changed := a.relay.Heartbeat(now, relay.Upstream{
-		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor,
+		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor, Age: age(h.Born, time.Now()),
 	})
 	if changed {
 		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
@@ -250,6 +250,15 @@
 	writeJSON(w, struct{}{})
 }
 
+// age returns how long ago an upstream was born, in Unix milliseconds, by the
+// clock that the agent shares with it; 0 if it does not say.
+func age(born int64, now time.Time) time.Duration {
+	if born == 0 {
+		return 0
+	}
+	return max(0, now.Sub(time.UnixMilli(born)))
+}
+
 func (a *Agent) leave(w http.ResponseWriter, req *http.Request) {
 	a.relay.Leave(a.now(), req.PathValue("id"))
 	a.log.Info("upstream leaves", zap.String("upstream", req.PathValue("id")))
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -50,6 +50,10 @@
 	// load. Callers pause for 1 to 3 s between requests; one that has given up
 	// on a flow leaves it open at the upstream for longer.
 	activeFor = 4 * time.Second
+	// otherStartSilent is how long the newest start of the upstream must have been
+	// silent for one that is older by the time of day to be believed: the clock
+	// may have jumped back. More than three heartbeats.
+	otherStartSilent = 3 * time.Second
 	// resetAfterLeave is how long after its last call an upstream has surely
 	// stopped. It exits at once; this covers late timers.
 	resetAfterLeave = 150 * time.Millisecond
@@ -84,8 +88,11 @@
 
 	// Upstream is what an upstream said of itself last.
 	Upstream struct {
-		ID       string
-		Born     int64
+		ID   string
+		Born int64
+		// Age is how long it has been running by its instance's clock, 0 if
+		// that is not known.
+		Age      time.Duration
 		Sequence uint64
 		Slots    int
 		Draining bool
@@ -105,7 +112,8 @@
 		next      uint32
 		buf       []byte
 		upstream  Upstream
-		start     uint32 // peer.StartOf the upstream, 0 if unknown
+		start     uint32        // peer.StartOf the upstream, 0 if unknown
+		beatAt    time.Duration // of its last heartbeat
 		coldUntil time.Duration
 		alive     bool // the upstream has been heard and has not ended
 		gone      bool // no process listens at the upstream's address
@@ -130,6 +138,7 @@
 		callerDone   bool
 		upstreamDone bool
 		entry        peer.Addr
+		held         time.Duration // when the upstream last sent a packet of it
 		seen         time.Duration
 		asked        time.Duration // when the caller's last packet came
 		since        time.Duration // when the upstream got what it has not answered
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -90,7 +90,7 @@
 // TestScripts runs testdata/*.txt. A line is a command, or "> " and what must
 // leave the relay since the last such line, in order; ">" alone is nothing.
 //
-//	beat ID SEQUENCE [draining] [born N]   the upstream's heartbeat
+//	beat ID SEQUENCE [draining] [born N] [age MILLISECONDS]   the upstream's heartbeat
 //	leave ID | ended | tick SECONDS | wait MILLISECONDS | assume
 //	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME]       a packet of caller N
@@ -145,6 +145,9 @@
 		if i := slices.Index(words, "born"); i > 0 {
 			u.Born = int64(number(words, i+1))
 		}
+		if i := slices.Index(words, "age"); i > 0 {
+			u.Age = time.Duration(number(words, i+1)) * time.Millisecond
+		}
 		r.relay.Heartbeat(r.now, u)
 	case "leave":
 		r.relay.Leave(r.now, words[1])
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -46,7 +46,7 @@
 		r.flows[h.Flow] = s
 		r.open++
 	}
-	s.seen = now
+	s.seen, s.held = now, now
 	if h.Has(segment.Open) {
 		s.first, s.numbered = h.Sequence, true
 		if s.acknowledged == 0 {
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -20,16 +21,21 @@
 	switch {
 	case same && u.Sequence <= r.upstream.Sequence && u.Sequence > 0:
 		return false
-	case !same && r.start != 0 && u.Born < r.upstream.Born:
+	case !same && r.start != 0 && u.Born < r.upstream.Born && now-r.beatAt <= otherStartSilent:
 		return false // of an earlier start, held up on its way
-	case !same && r.start != 0:
-		r.resetAll()
+	}
+	r.beatAt = now
+	if !same && r.start != 0 {
+		r.resetHeldBefore(now - u.Age)
 		r.judge.restarted(now)
 	}
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.start = u, start
 	r.alive, r.gone, r.left = true, false, false
 	r.coldUntil = now + u.ColdFor
+	if !same {
+		r.announceAll()
+	}
 	return changed
 }
 
@@ -124,10 +130,28 @@
 }
 
 // resetAll tells the callers of all open flows that the upstream has ended.
-func (r *Relay) resetAll() {
+func (r *Relay) resetAll() { r.resetHeldBefore(math.MaxInt64) }
+
+// announceAll tells the entries of open flows which start of the upstream holds
+// them: one that has been up for a moment may have taken flows before its first
+// heartbeat.
+func (r *Relay) announceAll() {
+	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
+		if s := r.flows[flow]; s.phase == accepted {
+			r.announce(flow, s, s.entry)
+		}
+	}
+}
+
+// resetHeldBefore tells the callers of flows that the upstream has sent nothing
+// of since it started that they have ended with its last start.
+func (r *Relay) resetHeldBefore(started time.Duration) {
 	// The fixed order keeps what follows repeatable.
 	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
 		s := r.flows[flow]
+		if s.held > started {
+			continue
+		}
 		if s.phase == accepted {
 			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
 			r.port.Decided(ResetEnded, flow, nil)
