--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -69,6 +69,7 @@
 		standInVerb(),
 		checkSettingsVerb(),
 		explainVerb(),
+		statusVerb(),
 	}
 }
 
