Every run of a small world with two departures is played

The cores run in virtual time with two entries, three upstreams and one flow; each datagram that concerns the flow may be lost, repeated or late, and at each of six moments a process may be killed, an instance cut off, an upstream crash or the route move.

--- /dev/null
+++ b/internal/fleetsim/explore_test.go
@@ -0,0 +1,21 @@
+package fleetsim_test
+
+import (
+	"testing"
+
+	"hickoryhook.example/internal/fleetsim"
+)
+
+// TestEveryRunWithTwoDepartures is the model check of the routing decisions:
+// two entries, three upstreams, one flow.
+func TestEveryRunWithTwoDepartures(t *testing.T) {
+	e := fleetsim.Explore(2)
+	if len(e.Broken) > 0 {
+		t.Error(e)
+	}
+	// A run has at least a point for each of six moments and the opening.
+	if e.Runs < 1000 {
+		t.Errorf("only %d runs", e.Runs)
+	}
+	t.Log(e)
+}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -71,6 +71,7 @@
 		counts    map[string]int
 		hosts     uint32
 		starts    int
+		script    *script // of a run that is explored
 	}
 
 	// Option changes what New returns.
@@ -281,12 +282,14 @@
 	if w.loss > 0 && w.random.Float64() < w.loss {
 		return
 	}
-	copied := slices.Clone(datagram)
-	w.After(w.delay(), func() {
-		if n, ok := w.nodes[to]; ok && n.up() {
-			n.receive(from, copied)
-		}
-	})
+	for _, delay := range w.fate(datagram) {
+		copied := slices.Clone(datagram)
+		w.After(delay, func() {
+			if n, ok := w.nodes[to]; ok && n.up() {
+				n.receive(from, copied)
+			}
+		})
+	}
 }
 
 // routed returns the entry that the routers choose for a hash: by steady
--- a/internal/verb/bench_fleet.go
+++ b/internal/verb/bench_fleet.go
@@ -21,6 +21,9 @@
   -first N   first seed (default 1)
   -seeds N   number of seeds (default 20)
   -loss P    share of datagrams between instances lost throughout (default 0)
+  -departures N   instead plays every run of a small world (two entries, three
+             upstreams, one flow) that departs from the calm one at most N times:
+             2 takes half a minute, 3 some minutes
   -trace     prints each decision to standard error
   -json      prints a JSON object a seed
 `
@@ -32,6 +35,8 @@
 	loss  float64
 	trace bool
 	json  bool
+	// departures is 0 for random runs.
+	departures int
 }
 
 func benchFleetVerb() command {
@@ -49,18 +54,22 @@
 	flags.Uint64Var(&r.first, "first", 1, "")
 	flags.IntVar(&r.seeds, "seeds", 20, "")
 	flags.Float64Var(&r.loss, "loss", 0, "")
+	flags.IntVar(&r.departures, "departures", 0, "")
 	flags.BoolVar(&r.trace, "trace", false, "")
 	flags.BoolVar(&r.json, "json", false, "")
 	if err := parseFlags(flags, args, 0); err != nil {
 		return nil, err
 	}
-	if r.seeds < 1 || r.loss < 0 || r.loss >= 1 {
+	if r.seeds < 1 || r.departures < 0 || r.loss < 0 || r.loss >= 1 {
 		return nil, &usageError{err: errors.New("bench fleet: want at least one seed and a loss from 0 to below 1")}
 	}
 	return r, nil
 }
 
 func (r *benchFleetRunner) run(ctx context.Context) error {
+	if r.departures > 0 {
+		return r.explore()
+	}
 	broken := 0
 	for i := range r.seeds {
 		if err := ctx.Err(); err != nil {
@@ -88,6 +97,17 @@
 	return nil
 }
 
+func (r *benchFleetRunner) explore() error {
+	e := fleetsim.Explore(r.departures)
+	if _, err := fmt.Fprintln(r.env.stdout, e); err != nil {
+		return err
+	}
+	if n := len(e.Broken); n > 0 {
+		return errors.Errorf("promises were broken in %d of %d runs", n, e.Runs)
+	}
+	return nil
+}
+
 func (r *benchFleetRunner) print(result fleetsim.Result, kept bool) error {
 	if r.json {
 		return json.NewEncoder(r.env.stdout).Encode(result)
