Closed flows take no room in what an entry remembers

Flows that their callers had closed stayed for 17 s, and as the quietest they were written first; open flows were left out, and their callers learned from their next request that the flow was gone. Flows whose caller has sent its end are not written and are forgotten after 5 s; those that have been quiet for 5 s, and have likely moved to another entry, come last.

--- a/internal/fleet/remembered.go
+++ b/internal/fleet/remembered.go
@@ -51,7 +51,7 @@
 	}
 	var written []director.Remembered
 	return every(rememberEvery, func() {
-		flows := e.director.Remember(rememberFlows)
+		flows := e.director.Remember(e.now(), rememberFlows)
 		if !director.WorthRemembering(written, flows) {
 			return
 		}
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -53,7 +53,7 @@
 	})
 	w.Every(rememberEvery, rememberEvery, func() bool {
 		if running() && !e.paused {
-			w.stored[e.address] = e.core.Remember(rememberFlows)
+			w.stored[e.address] = e.core.Remember(w.now(), rememberFlows)
 		}
 		return running()
 	})
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -190,7 +190,7 @@
 		s := &d.shards[i]
 		s.mu.Lock()
 		for flow, rec := range s.flows {
-			if now-rec.seen > idle {
+			if now-rec.seen > idle || rec.done && now-rec.seen > doneFor {
 				delete(s.flows, flow)
 			}
 		}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -50,6 +50,9 @@
 	defaultLifetime = time.Minute
 	// idleSlack covers packets on their way when a flow is forgotten.
 	idleSlack = 2 * time.Second
+	// doneFor is how long a flow that its caller has closed is remembered, for
+	// late packets of its end: as long as agents do.
+	doneFor = 5 * time.Second
 )
 
 // The decisions of a director.
@@ -137,6 +140,7 @@
 		service      peer.ServiceID
 		start        uint32 // of the owner's upstream, 0 if not heard
 		open         bool   // the owner has said that its upstream holds it
+		done         bool   // the caller has closed it
 		searching    bool
 		unsure       bool  // the search has ended without a certain answer
 		plan         []leg // of the search
@@ -281,6 +285,9 @@
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
+	if h.Has(segment.Fin) || h.Has(segment.Reset) {
+		rec.done = true
+	}
 	if !rec.searching {
 		d.deliver(s, rec, packet)
 		return
--- a/pkg/director/remembered.go
+++ b/pkg/director/remembered.go
@@ -25,6 +25,9 @@
 	// flow is written again: half of it. Unit: bytes.
 	resetWindow     = 76800
 	rememberedDrift = resetWindow / 2
+	// awayAfter is the time without packets after which a flow has likely moved
+	// to another entry: callers pause for 1 to 3 s between requests.
+	awayAfter = 5 * time.Second
 	// rememberedChange is the share of flows that may be missing or too many
 	// in what is written: one in rememberedChange.
 	rememberedChange = 12
@@ -32,12 +35,14 @@
 
 // Remember returns at most limit open flows. Those whose requests must not be
 // repeated come first: a caller who learns only from its next request that its
-// flow is gone loses that request. Then those that were quiet for longest.
-func (d *Director) Remember(limit int) []Remembered {
+// flow is gone loses that request. Of each kind those that were quiet for
+// longest come first, as their callers ask next, but for those that seem to
+// have moved away.
+func (d *Director) Remember(now time.Duration, limit int) []Remembered {
 	type aged struct {
 		Remembered
 		seen  time.Duration
-		class int // 0: requests must not be repeated
+		class int // 0: requests must not be repeated; +2: moved away
 	}
 	var all []aged
 	config := d.config.Load()
@@ -49,13 +54,16 @@
 		s.mu.Lock()
 		for flow, rec := range s.flows {
 			r, ok := config.Lookup(flow.VIP())
-			if !rec.open || rec.start == 0 || !ok {
+			if !rec.open || rec.done || rec.start == 0 || !ok {
 				continue
 			}
 			class := 0
 			if r.Idempotent {
 				class = 1
 			}
+			if now-rec.seen > awayAfter {
+				class += 2
+			}
 			all = append(all, aged{Remembered{
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.start, Acknowledged: rec.acknowledged,
 			}, rec.seen, class})
--- /dev/null
+++ b/pkg/director/remembered_test.go
@@ -0,0 +1,50 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+// TestRememberLeavesRoomForOpenFlows covers a busy entry that remembers fewer
+// flows than pass it: flows that were closed, and flows that have moved to
+// another entry, do not take the room of those that are in use.
+func TestRememberLeavesRoomForOpenFlows(t *testing.T) {
+	is := is.New(t)
+	var sent []peer.Addr
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.Packets{}, nowhere{&sent})
+	vip := vipAt(1)
+	d.SetConfig(route.New(1, []route.Route{{Name: "pages", VIP: vip, Idempotent: true, Shares: []route.Share{{Service: "maklerlink", Weight: 1}}}}))
+	agent := peer.Addr{10, 0, 0, 2}
+	d.Report(0, agent, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u-1", Born: 1, Taking: true, Slots: 2})
+	use := func(now time.Duration, caller int, flags segment.Flags) segment.Flow {
+		flow := segment.NewFlow(vipAt(1000+caller), vip)
+		d.Report(now, agent, peer.Status{Incarnation: 1, Sequence: uint64(caller + 2), Service: "maklerlink", Upstream: "u-1", Born: 1, Taking: true, Slots: 2})
+		is.NoErr(d.FromCaller(now, platform.Encode(segment.Head{Flow: flow, Flags: segment.Open}, false)))
+		is.NoErr(d.FromProcess(now, agent, peer.Owner{Kind: peer.Owned, Flow: flow, Start: peer.StartOf("u-1", 1)}.Append(nil)))
+		is.NoErr(d.FromCaller(now, platform.Encode(segment.Head{Flow: flow, Flags: flags, Acknowledged: 7}, false)))
+		return flow
+	}
+	moved := use(time.Second, 1, segment.Ack)
+	use(7*time.Second, 2, segment.Ack|segment.Fin)
+	use(7*time.Second, 3, segment.Ack|segment.Fin)
+	open := use(8*time.Second, 4, segment.Ack)
+	newer := use(9*time.Second, 5, segment.Ack)
+
+	var got []segment.Flow
+	for _, r := range d.Remember(9*time.Second, 5) {
+		got = append(got, r.Flow)
+	}
+	is.Equal(got, []segment.Flow{open, newer, moved})
+	is.Equal(len(d.Remember(9*time.Second, 2)), 2)
+	is.Equal(d.Flows(), 5)
+	d.Tick(13*time.Second, 0)
+	is.Equal(d.Flows(), 3) // the closed ones are forgotten
+}
