An entry that the store turns away asks others to read what it remembered

Cause: the flows that an entry has written are read back from the store alone. The test has a store that refuses one entry and serves another; it failed first.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -234,6 +234,7 @@
 func (c *configSync) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+registrationsPath, c.serveRegistrations)
+	mux.HandleFunc("GET "+flowsPath, c.serveFlows)
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		raw := c.raw
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,6 +18,8 @@
 
 	"hickoryhook.example/internal/fleet"
 	"hickoryhook.example/internal/kvstandin"
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -270,6 +272,33 @@
 	is.True(!registered) // it has taken its registration back
 }
 
+// TestEntryThatTheStoreTurnsAwayRecallsItsFlows covers an entry that starts after
+// a loss of power while the store serves other entries and refuses this one.
+func TestEntryThatTheStoreTurnsAwayRecallsItsFlows(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 79)
+	s.putConfig(5, vipText)
+	flow := segment.NewFlow(netip.MustParseAddrPort("100.64.0.7:1001"), netip.AddrPortFrom(netip.MustParseAddr(vipText), vipPort))
+	written, err := fleet.EncodeFlows([]director.Remembered{{Flow: flow, Owner: peer.Addr{127, 0, 79, 2}, Start: 7, Acknowledged: 9}})
+	is.NoErr(err)
+	s.store.Set("hickoryhook-flows/"+s.ip(4), written)
+	first, err := fleet.NewEntry(s.settings(1), zap.NewNop())
+	is.NoErr(err)
+	s.run(first)
+
+	refusing := kvstandin.New()
+	refusing.Fail(kvstandin.Busy)
+	server := httptest.NewServer(refusing)
+	t.Cleanup(server.Close)
+	settings := s.settings(4)
+	settings.Seeds = []netip.Addr{netip.MustParseAddr(s.ip(1))}
+	settings.Store = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	second, err := fleet.NewEntry(settings, zap.NewNop())
+	is.NoErr(err)
+	s.run(second)
+	s.eventually("the second entry knows its flow", func() bool { return s.gauge(4, "flows") == 1.0 })
+}
+
 // TestEntryStartsWithoutTheStore covers an entry that is started while the store
 // is silent: configuration and members come from another entry.
 func TestEntryStartsWithoutTheStore(t *testing.T) {
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 
@@ -10,10 +11,12 @@
 
 	"hickoryhook.example/internal/daemon"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/platform"
 )
 
 const (
 	registrationsPath = "/registrations"
+	flowsPath         = "/flows/{entry}"
 	// entriesAsked bounds how many entries are asked in a row for what the
 	// store does not tell. Most of them know it.
 	entriesAsked = 4
@@ -42,6 +45,61 @@
 	writeJSON(w, r)
 }
 
+// serveFlows reads from the store for another entry what that one has written
+// about its flows.
+func (c *configSync) serveFlows(w http.ResponseWriter, req *http.Request) {
+	address, err := netip.ParseAddr(req.PathValue("entry"))
+	if err != nil || !address.Is4() {
+		http.Error(w, "not an entry's address", http.StatusBadRequest)
+		return
+	}
+	value, err := c.readFlows(req.Context(), peer.NewAddr(address))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		if _, err := w.Write(value); err != nil {
+			return // the caller has gone
+		}
+	}
+}
+
+// askForFlows asks other entries to read what this one has written.
+func (e *Entry) askForFlows() ([]byte, error) {
+	alive := e.entries.alive(e.now())
+	err := errors.New("ask entry: none is alive")
+	for _, a := range alive[:min(entriesAsked, len(alive))] {
+		var value []byte
+		if value, err = e.askFor(a, "/flows/"+e.self.String()); err == nil || errors.Is(err, platform.ErrNotFound) {
+			return value, err
+		}
+	}
+	return nil, err
+}
+
+// askFor gets a path of another entry.
+func (e *Entry) askFor(from peer.Addr, path string) ([]byte, error) {
+	address := netip.AddrPortFrom(from.Addr(), e.settings.PeerPort+1)
+	resp, err := e.config.client.Get("http://" + address.String() + path)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask entry")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return nil, platform.ErrNotFound
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("ask entry: status %d", resp.StatusCode)
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, maxConfig))
+	if err != nil {
+		return nil, errors.Wrap(err, "ask entry")
+	}
+	return value, nil
+}
+
 // askEntries asks other entries for the registrations, until one knows them.
 func (e *Entry) askEntries() {
 	if _, known := e.director.Informed(); known {
@@ -61,17 +119,12 @@
 }
 
 func (e *Entry) askEntry(from peer.Addr) error {
-	address := netip.AddrPortFrom(from.Addr(), e.settings.PeerPort+1)
-	resp, err := e.config.client.Get("http://" + address.String() + registrationsPath)
+	value, err := e.askFor(from, registrationsPath)
 	if err != nil {
-		return errors.Wrap(err, "ask entry")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("ask entry: status %d", resp.StatusCode)
+		return err
 	}
 	var r registrations
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxConfig)).Decode(&r); err != nil {
+	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.Wrap(err, "ask entry")
 	}
 	agents := make([]peer.Addr, 0, len(r.Agents))
--- a/internal/fleet/remembered.go
+++ b/internal/fleet/remembered.go
@@ -75,13 +75,13 @@
 }
 
 // recall takes in what this entry wrote before it started again. It tries until
-// the store answers.
+// the store answers it or another entry.
 func (e *Entry) recall(ctx context.Context) error {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		e.counts.add("store-reads")
-		item, err := e.store.Get(call, e.flowsKey())
-		cancel()
+		value, err := e.readFlows(ctx, e.self)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			value, err = e.askForFlows()
+		}
 		if errors.Is(err, platform.ErrNotFound) {
 			return nil
 		}
@@ -89,7 +89,7 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		flows, err := decodeFlows(item.Value)
+		flows, err := decodeFlows(value)
 		if err != nil {
 			return err
 		}
@@ -100,6 +100,15 @@
 	return nil
 }
 
+// readFlows reads from the store what an entry has written about its flows.
+func (p *process) readFlows(ctx context.Context, entry peer.Addr) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	p.counts.add("store-reads")
+	item, err := p.store.Get(ctx, flowsPrefix+entry.String())
+	return item.Value, err
+}
+
 func (e *Entry) flowsKey() string { return flowsPrefix + e.self.String() }
 
 func encodeFlows(flows []director.Remembered) ([]byte, error) {
