--- a/internal/fleetsim/explore.go
+++ b/internal/fleetsim/explore.go
@@ -48,13 +48,13 @@
 		Broken []string
 	}
 
-	// departure is a point at which a run leaves the calm one: the choice at
-	// the point-th occasion.
-	departure struct{ point, option int }
+	// Departure is a point at which a run leaves the calm one: the choice at
+	// the Point-th occasion.
+	Departure struct{ Point, Option int }
 
 	// script answers a run's questions and notes how many options each had.
 	script struct {
-		departures []departure
+		departures []Departure
 		options    []int
 		off        bool // after the end of the part that is explored
 	}
@@ -70,7 +70,7 @@
 		mu      sync.Mutex
 		workers sync.WaitGroup
 	)
-	work := make(chan []departure)
+	work := make(chan []Departure)
 	for range runtime.GOMAXPROCS(0) {
 		workers.Go(func() {
 			for first := range work {
@@ -87,7 +87,7 @@
 		calm := &script{}
 		play(calm)
 		for _, d := range calm.next() {
-			work <- []departure{d}
+			work <- []Departure{d}
 		}
 	}
 	close(work)
@@ -97,7 +97,7 @@
 
 // exploreFrom plays the run of some departures, and those that depart from it
 // later up to more times. The calm run's own departures are others' work.
-func exploreFrom(departures []departure, more int) (runs int, broken []string) {
+func exploreFrom(departures []Departure, more int) (runs int, broken []string) {
 	s := &script{departures: departures}
 	if b := play(s); b != "" {
 		broken = append(broken, b)
@@ -122,31 +122,36 @@
 	point := len(s.options)
 	s.options = append(s.options, options)
 	for _, d := range s.departures {
-		if d.point == point {
-			return d.option
+		if d.Point == point {
+			return d.Option
 		}
 	}
 	return 0
 }
 
 // next returns the departures that lie after those of the run.
-func (s *script) next() []departure {
+func (s *script) next() []Departure {
 	begin := 0
 	if n := len(s.departures); n > 0 {
-		begin = s.departures[n-1].point + 1
+		begin = s.departures[n-1].Point + 1
 	}
-	var out []departure
+	var out []Departure
 	for point := begin; point < len(s.options); point++ {
 		for option := 1; option < s.options[point]; option++ {
-			out = append(out, departure{point, option})
+			out = append(out, Departure{point, option})
 		}
 	}
 	return out
 }
 
+// Replay plays one run and returns what it broke, "" if nothing.
+func Replay(departures []Departure, options ...Option) string {
+	return play(&script{departures: departures}, options...)
+}
+
 // play plays one run and returns what it broke, "" if nothing.
-func play(s *script) string {
-	w := New()
+func play(s *script, options ...Option) string {
+	w := New(options...)
 	vip := netip.MustParseAddrPort("198.18.0.1:443")
 	w.AddService("maklerlink", exploredUpstreams, randomSlots)
 	w.AddService("exposeserver", 1, randomSlots)
--- a/internal/fleetsim/explore_test.go
+++ b/internal/fleetsim/explore_test.go
@@ -19,3 +19,17 @@
 	}
 	t.Log(e)
 }
+
+// TestRunsThatBroke plays the runs with three departures that have broken a
+// promise: flows that an upstream had taken before its first heartbeat were
+// reset by that.
+func TestRunsThatBroke(t *testing.T) {
+	for _, run := range [][]fleetsim.Departure{
+		{{6, 8}, {8, 7}, {11, 11}},
+		{{6, 8}, {9, 7}, {11, 11}},
+	} {
+		if broken := fleetsim.Replay(run); broken != "" {
+			t.Error(broken)
+		}
+	}
+}
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -116,6 +116,7 @@
 	u.beats++
 	changed := i.relay.Heartbeat(i.world.now(), relay.Upstream{
 		ID: u.id, Born: u.born, Sequence: u.beats, Slots: i.slots, Draining: u.draining,
+		Age: i.world.Now().Sub(time.UnixMilli(u.born)),
 	})
 	if u.draining && u.drainAcked == 0 {
 		u.drainAcked = i.world.now()
--- a/internal/verb/bench_fleet.go
+++ b/internal/verb/bench_fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -24,6 +25,7 @@
   -departures N   instead plays every run of a small world (two entries, three
              upstreams, one flow) that departs from the calm one at most N times:
              2 takes half a minute, 3 some minutes
+  -replay P  instead plays one such run again, as it was printed: "6 8, 8 7"
   -trace     prints each decision to standard error
   -json      prints a JSON object a seed
 `
@@ -37,6 +39,7 @@
 	json  bool
 	// departures is 0 for random runs.
 	departures int
+	replay     string
 }
 
 func benchFleetVerb() command {
@@ -55,6 +58,7 @@
 	flags.IntVar(&r.seeds, "seeds", 20, "")
 	flags.Float64Var(&r.loss, "loss", 0, "")
 	flags.IntVar(&r.departures, "departures", 0, "")
+	flags.StringVar(&r.replay, "replay", "", "")
 	flags.BoolVar(&r.trace, "trace", false, "")
 	flags.BoolVar(&r.json, "json", false, "")
 	if err := parseFlags(flags, args, 0); err != nil {
@@ -67,7 +71,10 @@
 }
 
 func (r *benchFleetRunner) run(ctx context.Context) error {
-	if r.departures > 0 {
+	switch {
+	case r.replay != "":
+		return r.playAgain()
+	case r.departures > 0:
 		return r.explore()
 	}
 	broken := 0
@@ -97,6 +104,27 @@
 	return nil
 }
 
+// playAgain plays one run that was explored.
+func (r *benchFleetRunner) playAgain() error {
+	var departures []fleetsim.Departure
+	for _, text := range strings.Split(r.replay, ",") {
+		var d fleetsim.Departure
+		if _, err := fmt.Sscan(text, &d.Point, &d.Option); err != nil {
+			return &usageError{err: errors.Wrapf(err, "bench fleet: -replay %q", text)}
+		}
+		departures = append(departures, d)
+	}
+	var options []fleetsim.Option
+	if r.trace {
+		options = append(options, fleetsim.WithTrace(r.env.stderr))
+	}
+	if broken := fleetsim.Replay(departures, options...); broken != "" {
+		return errors.Errorf("promises were broken: %s", broken)
+	}
+	_, err := fmt.Fprintln(r.env.stdout, "kept")
+	return err
+}
+
 func (r *benchFleetRunner) explore() error {
 	e := fleetsim.Explore(r.departures)
 	if _, err := fmt.Fprintln(r.env.stdout, e); err != nil {
