An entry that is late with its datagrams takes no flow for dead

Found by reading: an agent that was never heard is no longer waited for without end, but on an instance that is several times slower than usual a living agent's report may wait in the socket for longer. While packets wait for a report's interval or more, nobody's silence counts.

--- a/internal/fleet/lag.go
+++ b/internal/fleet/lag.go
@@ -87,6 +87,9 @@
 		return
 	}
 	e.counts.measure("waiting-in-socket", lag)
+	if lag >= reportEvery {
+		e.director.Delayed(now)
+	}
 	ready, away := tally(now, e.entries.neighbours(e.settings.Place))
 	if !e.overload.observe(now, lag, enough(ready, away)) {
 		return
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -198,6 +198,10 @@
 // heard, or been waited for, no flow is taken for dead.
 func (d *Director) Expect(now time.Duration, agents []peer.Addr) { d.members.expect(now, agents) }
 
+// Delayed takes in that this process is so late with its datagrams that a report
+// may wait unread: for a while nobody's silence proves anything.
+func (d *Director) Delayed(now time.Duration) { d.members.delayed(now) }
+
 // Informed returns the registered agents, and whether these and the services
 // that may hold flows are known, from the store or from another entry.
 func (d *Director) Informed() ([]peer.Addr, bool) {
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -52,7 +52,7 @@
 		mu        sync.RWMutex
 		agents    map[peer.Addr]*agent
 		byService map[peer.ServiceID][]*agent
-		pausedAt  time.Duration               // when this process last stood still
+		pausedAt  time.Duration               // when this process last stood still or was late
 		expected  map[peer.Addr]time.Duration // registered agents and since when they are known to be, nil if not known
 		departed  map[peer.Addr]departure
 	}
@@ -224,6 +224,12 @@
 	return true
 }
 
+func (m *members) delayed(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pausedAt = now
+}
+
 // expectedHeard reports whether the registered agents have been heard, but for
 // some that have been waited for in vain. Those may be half of all at most: with
 // more it is likelier that this instance is cut off.
--- a/pkg/director/settled_test.go
+++ b/pkg/director/settled_test.go
@@ -11,6 +11,25 @@
 	"hickoryhook.example/platform"
 )
 
+// TestNotSettledWhileLate covers an entry that is too slow to read its datagrams:
+// reports of living agents may wait in its socket.
+func TestNotSettledWhileLate(t *testing.T) {
+	is := is.New(t)
+	d := director.New(peer.Addr{10, 0, 1, 1}, platform.Packets{}, nil)
+	d.MergeHolders(nil)
+	d.Expect(0, []peer.Addr{{10, 0, 0, 1}, {10, 0, 0, 2}})
+	report := func(at time.Duration, sequence uint64) {
+		d.Report(at, peer.Addr{10, 0, 0, 1}, peer.Status{Incarnation: 1, Sequence: sequence, Service: "maklerlink"})
+	}
+	report(1900*time.Millisecond, 1)
+	is.True(d.Settled(2 * time.Second)) // the other agent is taken as gone
+	d.Delayed(2 * time.Second)
+	report(2900*time.Millisecond, 2)
+	is.True(!d.Settled(3 * time.Second))
+	report(3400*time.Millisecond, 3)
+	is.True(d.Settled(3500 * time.Millisecond))
+}
+
 // TestSettledWithAnOldList covers an entry that starts after the loss of all
 // power with a list that names agents which have gone before: it waits for them
 // for a while, and then takes flows for dead that nobody holds.
