--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,6 +78,7 @@
 	config    Config
 	site      *site
 	callers   *callers
+	timeline  timeline
 	upstreams []*upstream
 	cancel    context.CancelFunc
 	ends      []chan error
@@ -130,6 +132,9 @@
 	}
 	r.callers = c
 	r.goes(c.receive)
+	r.timeline.begin = time.Now()
+	upstreams := slices.Clone(r.upstreams)
+	r.goes(func() error { r.timeline.watch(work, c, upstreams); return nil })
 	for range r.config.Callers {
 		r.goes(func() error { return c.run(work) })
 	}
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -37,6 +38,8 @@
 		Program string
 		// For is how long faults go on.
 		For time.Duration
+		// Page receives a report as a page for browsers, unless it is nil.
+		Page io.Writer
 	}
 
 	// child is an entry or an agent as a process of its own. It is started
@@ -105,10 +108,14 @@
 	if report, err = k.stop(); err != nil {
 		return report, err
 	}
+	var verdict error
 	if report.Broken > 0 || lost > 0 {
-		return report, errors.Errorf("seed %d: %d flows reset though their upstream lived, %d requests lost after all had settled", c.Seed, report.Broken, lost)
+		verdict = errors.Errorf("seed %d: %d flows reset though their upstream lived, %d requests lost after all had settled", c.Seed, report.Broken, lost)
 	}
-	return report, nil
+	if c.Page != nil {
+		err = k.timeline.write(c.Page, fmt.Sprintf("Soak, seed %d", c.Seed), report, verdict)
+	}
+	return report, errors.Join(verdict, err)
 }
 
 // faults injects one fault after the other; some overlap.
@@ -119,6 +126,7 @@
 	for time.Now().Before(end) {
 		what, f := k.fault()
 		k.say("%s", what)
+		k.timeline.note(what)
 		running.Go(f)
 		if err := sleep(ctx, k.upTo(soakPause)); err != nil {
 			return err
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -127,6 +127,13 @@
 	return !u.gone && f != nil && f.first == first
 }
 
+// count returns how many flows the upstream holds.
+func (u *upstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.flows)
+}
+
 // beat tells the agent how the upstream does.
 func (u *upstream) beat(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -25,6 +26,8 @@
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
+  -report FILE   writes a page for browsers: what was answered over time, the
+                 faults, and the flows of each upstream
   -network N     third number of the loopback addresses (default 92)
 `
 
@@ -36,6 +39,7 @@
 	network   int
 	entries   int
 	upstreams int
+	report    string
 }
 
 func parsePlatformSoak(args []string, env environment) (runner, error) {
@@ -46,6 +50,7 @@
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
+	flags.StringVar(&r.report, "report", "", "")
 	flags.IntVar(&r.upstreams, "upstreams", 4, "")
 	if err := parseFlags(flags, args, 0); err != nil {
 		return nil, err
@@ -59,7 +64,7 @@
 	return r, nil
 }
 
-func (r *platformSoakRunner) run(ctx context.Context) error {
+func (r *platformSoakRunner) run(ctx context.Context) (err error) {
 	program, err := os.Executable()
 	if err != nil {
 		return errors.Wrap(err, "soak")
@@ -68,11 +73,20 @@
 	if err != nil {
 		return errors.Wrap(err, "soak")
 	}
+	var page io.Writer
+	if r.report != "" {
+		file, failed := os.Create(r.report)
+		if failed != nil {
+			return errors.Wrap(failed, "soak")
+		}
+		defer func() { err = errors.Join(err, file.Close()) }()
+		page = file
+	}
 	report, err := fleetdemo.Soak(ctx, fleetdemo.SoakConfig{
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.env.stdout, Log: log,
 		},
-		Program: program, For: r.length,
+		Program: program, For: r.length, Page: page,
 	})
 	return errors.Join(err, printTable(r.env.stdout, []row{
 		{"requests", report.Asked}, {"answered", report.Answered}, {"lost", report.Lost},
