--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -141,20 +141,6 @@
 	u := k.upstreams[k.random.IntN(len(k.upstreams))]
 	dark := k.upTo(soakDark)
 	switch n := k.random.IntN(10); n {
-	case 6, 7:
-		fault := 1 + proxyFault(k.random.IntN(int(proxyFaults)-1))
-		return fmt.Sprintf("connections of %s to the store are harmed (%d) for %s", c.name(), fault, dark), func() {
-			c.proxy.set(fault)
-			time.Sleep(dark)
-			c.proxy.set(passes)
-		}
-	case 8:
-		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.id, dark), func() {
-			c.proxy.reset()
-			u.crash(dark)
-		}
-	case 9:
-		return fmt.Sprintf("upstream %s resets its flows for %s", u.id, dark), func() { u.fail(dark) }
 	case 0:
 		return "SIGTERM " + c.name(), func() { c.signal(syscall.SIGTERM) }
 	case 1:
@@ -174,6 +160,20 @@
 			time.Sleep(dark)
 			k.site.store.Fail(kvstandin.Healthy)
 		}
+	case 6, 7:
+		fault := 1 + proxyFault(k.random.IntN(int(proxyFaults)-1))
+		return fmt.Sprintf("connections of %s to the store are harmed (%d) for %s", c.name(), fault, dark), func() {
+			c.proxy.set(fault)
+			time.Sleep(dark)
+			c.proxy.set(passes)
+		}
+	case 8:
+		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.id, dark), func() {
+			c.proxy.reset()
+			u.crash(dark)
+		}
+	case 9:
+		return fmt.Sprintf("upstream %s resets its flows for %s", u.id, dark), func() { u.fail(dark) }
 	default:
 		return "the store drops its history", k.site.store.Compact
 	}
