--- a/internal/fleetdemo/run_test.go
+++ b/internal/fleetdemo/run_test.go
@@ -36,6 +36,7 @@
 // TestNothingIsLostInAPlannedReplacement runs the real processes' sockets on
 // loopback while an upstream and all entries are replaced.
 func TestNothingIsLostInAPlannedReplacement(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	report, _ := replaced()
 	is.Equal(report.Lost, 0)
@@ -46,6 +47,7 @@
 // TestAFlowIsFollowedThroughTheLogs takes one flow's name from a caller's
 // opening to the agent that took it.
 func TestAFlowIsFollowedThroughTheLogs(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	report, logs := replaced()
 	story := logs.Flow(report.Flow)
@@ -63,6 +65,7 @@
 // TestPlannedReplacementHasNoBadEnds covers what the summary says of the run:
 // processes that stopped, and no flow that ended but by its upstream's end.
 func TestPlannedReplacementHasNoBadEnds(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	_, logs := replaced()
 	summary := logs.Summary()
@@ -76,3 +79,30 @@
 		is.Equal(o.How, explain.Stopped)
 	}
 }
+
+// stuckReader stands for a pipe that nobody reads.
+type stuckReader struct{ release chan struct{} }
+
+func (w stuckReader) Write(b []byte) (int, error) {
+	<-w.release
+	return len(b), nil
+}
+
+// TestNobodyReadsTheLogs plays the run with a reader of logs that has stopped:
+// traffic must not notice.
+func TestNobodyReadsTheLogs(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	reader := stuckReader{release: make(chan struct{})}
+	lines := daemon.NewLines(ctx, reader)
+	report, err := fleetdemo.Run(context.Background(), fleetdemo.Config{
+		Seed: 3, Network: 93, Callers: 20, Out: io.Discard, Log: daemon.NewLineLogger(lines),
+	})
+	is.NoErr(err)
+	is.Equal(report.Lost, 0)
+	is.True(report.Asked > 100)
+	cancel()
+	close(reader.release)
+	is.NoErr(<-lines.Done())
+}
