--- a/internal/verb/status.go
+++ b/internal/verb/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 
 	"github.com/go-faster/errors"
@@ -62,7 +61,7 @@
 		return err
 	}
 	if n := len(o.Problems()); n > 0 {
-		return fmt.Errorf("%d problems", n)
+		return errors.Errorf("%d problems", n)
 	}
 	return nil
 }
