--- a/internal/world/nodes.go
+++ b/internal/world/nodes.go
@@ -13,8 +13,6 @@
 	"hickoryhook.example/pkg/tunnel"
 )
 
-const ipHeaderBytes = 28
-
 type (
 	// Entry is an entry instance.
 	Entry struct {
@@ -109,7 +107,7 @@
 
 func (e *Entry) receive(from netip.AddrPort, p *tunnel.Packet) {
 	if p.Control() {
-		e.traffic.add(e.world.Now(), p.SealedSize()+ipHeaderBytes)
+		e.traffic.add(e.world.Now(), p.WireSize())
 	}
 	var out entry.Output
 	e.core.FromAgent(from, p, &out)
@@ -132,7 +130,7 @@
 	for i := range sends {
 		p := sends[i].Packet()
 		if p.Control() {
-			e.traffic.add(e.world.Now(), p.SealedSize()+ipHeaderBytes)
+			e.traffic.add(e.world.Now(), p.WireSize())
 		}
 		e.world.send(e.address, sends[i].Address(), p)
 	}
@@ -343,7 +341,7 @@
 		return
 	}
 	if p.Control() {
-		a.traffic.add(a.world.Now(), p.SealedSize()+ipHeaderBytes)
+		a.traffic.add(a.world.Now(), p.WireSize())
 	}
 	if p.Kind() == tunnel.Data {
 		a.world.counts.extraHops += int64(min(p.Hops(), 1))
@@ -357,7 +355,7 @@
 	for i := range sends {
 		p := sends[i].Packet()
 		if p.Control() {
-			a.traffic.add(a.world.Now(), p.SealedSize()+ipHeaderBytes)
+			a.traffic.add(a.world.Now(), p.WireSize())
 		}
 		a.world.send(a.self.Address(), sends[i].Address(), p)
 	}
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -302,7 +302,7 @@
 		return
 	}
 	if p.Control() {
-		c.stats.controlReceived.Add(int64(p.SealedSize() + ipHeaderBytes))
+		c.stats.controlReceived.Add(int64(p.WireSize()))
 	}
 	c.hear(now, from, p)
 	switch p.Kind() {
@@ -337,7 +337,7 @@
 	work, capacity := c.load(now)
 	p.SetLoad(work, capacity)
 	if p.Control() {
-		size := p.SealedSize() + ipHeaderBytes
+		size := p.WireSize()
 		c.stats.controlSent.Add(int64(size))
 	}
 	out.send(address, p)
--- a/pkg/agent/output.go
+++ b/pkg/agent/output.go
@@ -49,9 +49,6 @@
 	Conflict
 )
 
-// ipHeaderBytes is the length of the IPv4 and UDP headers.
-const ipHeaderBytes = 28
-
 type (
 	// DropReason tells why a packet was dropped.
 	DropReason uint8
--- a/pkg/agent/register.go
+++ b/pkg/agent/register.go
@@ -241,7 +241,7 @@
 	}
 	p := c.newPacket(tunnel.Register, b.target)
 	p.SetPayload(body)
-	c.pace.spend(p.SealedSize() + ipHeaderBytes)
+	c.pace.spend(p.WireSize())
 	c.send(now, &p, out)
 }
 
--- a/pkg/entry/core.go
+++ b/pkg/entry/core.go
@@ -242,11 +242,11 @@
 }
 
 func (c *Core) heartbeat(from netip.AddrPort, p *tunnel.Packet, out *Output) {
-	c.stats.controlReceived.Add(int64(p.SealedSize() + ipHeaderBytes))
+	c.stats.controlReceived.Add(int64(p.WireSize()))
 	if c.stopping.Load() {
 		return
 	}
 	ack := out.next(from, tunnel.NewPacket(tunnel.HeartbeatAck, p.Service(), c.id, p.Sender()))
 	ack.SetVia(c.address)
-	c.stats.controlSent.Add(int64(ack.SealedSize() + ipHeaderBytes))
+	c.stats.controlSent.Add(int64(ack.WireSize()))
 }
--- a/pkg/entry/output.go
+++ b/pkg/entry/output.go
@@ -28,9 +28,6 @@
 // Routed is the decision to send the first datagrams of a flow to its home.
 const Routed EventKind = 0
 
-// ipHeaderBytes is the length of the IPv4 and UDP headers.
-const ipHeaderBytes = 28
-
 type (
 	// DropReason tells why a datagram was dropped.
 	DropReason uint8
--- a/pkg/tunnel/codec.go
+++ b/pkg/tunnel/codec.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// ipHeaderBytes is the length of the IPv4 and UDP headers.
+	ipHeaderBytes = 28
+
 	magic   = 0x686b
 	version = 1
 
@@ -71,6 +74,10 @@
 // headers of UDP and IP.
 func (p *Packet) SealedSize() int { return p.size() + tagBytes }
 
+// WireSize returns the size in bytes of the packet on the wire, with the headers
+// of UDP and IPv4.
+func (p *Packet) WireSize() int { return p.SealedSize() + ipHeaderBytes }
+
 // appendTo appends the encoded packet, without the tag, to b.
 func (p *Packet) appendTo(b []byte, keyID uint8) []byte {
 	b = binary.BigEndian.AppendUint16(b, magic)
