--- a/internal/daemon/log_writer.go
+++ b/internal/daemon/log_writer.go
@@ -22,6 +22,10 @@
 	flushInterval = 100 * time.Millisecond
 )
 
+// TimeLayout is the layout of the times in log lines, that of
+// zapcore.ISO8601TimeEncoder. The zone is the local one, "Z" for UTC.
+const TimeLayout = "2006-01-02T15:04:05.000Z0700"
+
 // LeftOutMessage is the message of log lines that report how many lines were left
 // out: dropped or sampled.
 const LeftOutMessage = "lines left out"
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -77,8 +77,13 @@
 	"placed-again":           OpeningUnanswered,
 }
 
-// resolvingMessages are the messages of decisions that complete a pending one.
-var resolvingMessages = map[string]bool{"found": true, "taken": true}
+// The messages of decisions that complete a pending one.
+const (
+	foundMessage    = "found"
+	acceptedMessage = "taken"
+	// refusedMessage withdraws an earlier acceptedMessage of the same process.
+	refusedMessage = "refused-by-upstream"
+)
 
 // determineOutcome returns how a flow ended. The first reset decides, as the
 // caller gives up the flow then. Without one, the last pending decision does,
@@ -100,9 +105,12 @@
 }
 
 // outcomeFromLines returns the outcome of a flow as its lines show it, without
-// regard to lines that were left out.
+// regard to lines that were left out. Entries log openings and agents log their
+// acceptance, so that the order of these lines depends on two clocks: a caller opens
+// a flow once, and one acceptance answers the opening wherever its line stands.
 func outcomeFromLines(flow string, lines []Line) Outcome {
 	outcome := Outcome{Flow: flow}
+	opened := isAccepted(lines)
 	for _, line := range lines {
 		if cause, ok := resetCauses[line.Message]; ok {
 			if cause == UpstreamsBusy && line.Tried == 0 {
@@ -110,12 +118,29 @@
 			}
 			return Outcome{Flow: flow, Cause: cause, At: line.At, Line: line}
 		}
-		if cause, ok := pendingCauses[line.Message]; ok {
+		cause, pending := pendingCauses[line.Message]
+		switch {
+		case pending && cause == OpeningUnanswered && opened:
+		case pending:
 			outcome.Cause, outcome.At, outcome.Line = cause, line.At, line
-		}
-		if resolvingMessages[line.Message] {
+		case line.Message == foundMessage, line.Message == acceptedMessage:
 			outcome = Outcome{Flow: flow}
 		}
 	}
 	return outcome
 }
+
+// isAccepted reports whether an agent has offered the flow to its upstream, and the
+// upstream has not refused it afterwards.
+func isAccepted(lines []Line) bool {
+	accepting := make(map[string]bool) // by process
+	for _, line := range lines {
+		switch line.Message {
+		case acceptedMessage:
+			accepting[line.Process] = true
+		case refusedMessage:
+			delete(accepting, line.Process)
+		}
+	}
+	return len(accepting) > 0
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -26,10 +26,12 @@
 // that the processes write.
 const maxLineBytes = 64 << 10
 
+var errNoMessage = errors.New("log line without a message")
+
 type (
 	// Line is one log line. Fields that a line does not have are zero.
 	Line struct {
-		At       time.Time `json:"ts"`
+		At       time.Time `json:"-"`
 		Message  string    `json:"msg"`
 		Process  string    `json:"node"`
 		Flow     string    `json:"flow"`
@@ -70,12 +72,11 @@
 		if len(text) == 0 {
 			continue
 		}
-		var line Line
-		if err := json.Unmarshal(text, &line); err != nil || line.Message == "" || line.At.IsZero() {
+		line, err := decodeLine(text)
+		if err != nil {
 			l.unreadable++
 			continue
 		}
-		line.Text = string(text)
 		l.lines = append(l.lines, line)
 	}
 	if err := scanner.Err(); err != nil {
@@ -84,6 +85,28 @@
 	return nil
 }
 
+// decodeLine decodes one log line. It returns an error if the text is not a JSON object
+// with a message and a time.
+func decodeLine(text []byte) (Line, error) {
+	var decoded struct {
+		Line
+		Time string `json:"ts"`
+	}
+	if err := json.Unmarshal(text, &decoded); err != nil {
+		return Line{}, errors.Wrap(err, "decode log line")
+	}
+	at, err := time.Parse(daemon.TimeLayout, decoded.Time)
+	if err != nil {
+		return Line{}, errors.Wrap(err, "decode time of log line")
+	}
+	if decoded.Message == "" {
+		return Line{}, errNoMessage
+	}
+	line := decoded.Line
+	line.At, line.Text = at.UTC(), string(text)
+	return line, nil
+}
+
 // all returns the lines in order of time.
 func (l *Logs) all() []Line {
 	if !l.sorted {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.entries = newEntrySet(agentEntryTimeout)
 	conn, err := listen(s.OutboundAddress)
 	if err != nil {
 		return nil, err
@@ -93,8 +94,9 @@
 		a.httpTask(a.settings.ControlAddress, a.controlHandler()),
 		a.httpTask(a.settings.ReadyAddress, readyHandler(func() bool { return true })),
 	}
-	ends := startTasks(taskCtx, tasks)
+	// Before any line of the tasks: it marks where the lines of this process begin.
 	a.log.Info("agent started", zap.String("service", a.settings.Service))
+	ends := startTasks(taskCtx, tasks)
 	a.probeUpstreamAtStart()
 	a.report()
 	var failure error
--- a/internal/fleet/agentlist.go
+++ b/internal/fleet/agentlist.go
@@ -27,6 +27,9 @@
 			written = nil // another entry may write in the meantime
 			return
 		}
+		if e.agentListMissing.Swap(false) {
+			written = nil
+		}
 		agents := e.director.Agents()
 		if slices.Equal(agents, written) {
 			return
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,9 +57,13 @@
 	helloSentAt map[peer.Addr]time.Duration // last reply to each agent's reports
 	lastTick    time.Duration
 
-	registryRead bool          // used by discoverProcesses only
-	askOffset    atomic.Uint32 // advances by maxEntriesAsked on each call of entriesToAsk
-	helloCount   atomic.Uint32 // calls of sendHello that requested no replies
+	registryRead bool // used by discoverProcesses only
+	// registrationMissing and agentListMissing request that the key is written again.
+	registrationMissing atomic.Bool
+	agentListMissing    atomic.Bool
+
+	askOffset  atomic.Uint32 // advances by maxEntriesAsked on each call of entriesToAsk
+	helloCount atomic.Uint32 // calls of sendHello that requested no replies
 }
 
 // NewEntry returns an entry whose sockets are open. It returns an error if one
@@ -112,8 +117,8 @@
 	if e.settings.ControlAddress.IsValid() {
 		tasks = append(tasks, e.httpTask(e.settings.ControlAddress, readyHandler(e.ready)))
 	}
+	e.log.Info("entry started") // before any line of the tasks: it marks where the lines of this process begin
 	ends := startTasks(taskCtx, tasks)
-	e.log.Info("entry started")
 	e.sendMessage(peer.Hello, e.helloMessage(true, true), e.entries.known(e.now())...)
 	var failure error
 	running := len(tasks)
@@ -392,6 +397,20 @@
 	return nil
 }
 
+// restoreMissing requests new writes of the keys that the store no longer has. If a stale
+// read lacks a recent write, that is repeated in vain.
+func (e *Entry) restoreMissing(r registry) {
+	if !slices.Contains(r.entries, e.self) {
+		e.registrationMissing.Store(true)
+	}
+	if r.agents == nil {
+		e.agentListMissing.Store(true)
+	}
+	if r.holders == nil {
+		e.config.requestHoldersWrite()
+	}
+}
+
 // discoverOnce reads the registrations once and sends hello messages to new
 // entries. The first read must not be stale; it also merges the flow holders
 // and sends hello messages to the registered agents.
@@ -405,6 +424,9 @@
 	if first {
 		e.config.mergeHolders(r.holders)
 	}
+	if !first {
+		e.restoreMissing(r)
+	}
 	e.director.SetRegistered(e.now(), r.agents)
 	added := e.entries.add(e.now(), e.withoutSelf(r.entries)...)
 	e.sendMessage(peer.Hello, e.helloMessage(true, true), added...)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"hickoryhook.example/internal/fleet"
 	"hickoryhook.example/internal/kvstandin"
@@ -338,3 +340,54 @@
 	s.eventually("the second entry is settled", func() bool { return s.gauge(4, "settled") == true })
 	s.store.SetFault(kvstandin.Healthy)
 }
+
+// TestDeletedKeysReturn covers keys of the entries that something else deletes from the
+// store. An entry that started then would take an empty read for complete.
+func TestDeletedKeysReturn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t, 81)
+	s.putConfig(5, vipText)
+	agent, err := fleet.NewAgent(s.settings(2), zap.NewNop())
+	is.NoErr(err)
+	s.start(agent)
+	entry, err := fleet.NewEntry(s.settings(1), zap.NewNop())
+	is.NoErr(err)
+	s.start(entry)
+	s.sendHeartbeat("ready", 1)
+	keys := []string{"hickoryhook/agents", "hickoryhook/holders", "hickoryhook/entry/" + s.ip(1)}
+	exist := func() bool {
+		return !slices.ContainsFunc(keys, func(key string) bool {
+			_, ok := s.store.Get(key)
+			return !ok
+		})
+	}
+	s.eventually("the keys are written", exist)
+	for _, key := range keys {
+		s.store.Delete(key)
+	}
+	s.eventually("the keys are back", exist)
+}
+
+// TestFirstLineOfProcessReportsItsStart covers the lines from which explain tells a
+// planned stop from a kill: the lines of a process begin with its start.
+func TestFirstLineOfProcessReportsItsStart(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t, 82)
+	s.putConfig(5, vipText)
+	core, logged := observer.New(zap.InfoLevel)
+	first := func() string {
+		if lines := logged.TakeAll(); len(lines) > 1 {
+			return lines[0].Message
+		}
+		return ""
+	}
+	agent, err := fleet.NewAgent(s.settings(2), zap.New(core))
+	is.NoErr(err)
+	s.start(agent)()
+	is.Equal(first(), "agent started")
+	entry, err := fleet.NewEntry(s.settings(1), zap.New(core))
+	is.NoErr(err)
+	s.start(entry)()
+	is.Equal(first(), "entry started")
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -34,8 +34,11 @@
 	// director's checks for pauses of this process, and of overload checks.
 	tickInterval = 100 * time.Millisecond
 	// entryTimeout is the time without a hello message after which an entry no
-	// longer counts as alive: three intervals of hello messages and a margin.
+	// longer counts as alive for another one: three intervals of hello messages and a margin.
 	entryTimeout = 1300 * time.Millisecond
+	// agentEntryTimeout is entryTimeout of an agent, to which an entry sends a hello
+	// message every agentHelloInterval only: two of these and a margin.
+	agentEntryTimeout = 2*agentHelloInterval + 300*time.Millisecond
 	// entryRetention is the time without a hello message after which an entry is
 	// dropped and no longer receives messages. It is longer than any network
 	// partition or stop after which an entry returns under the same address.
@@ -77,8 +80,9 @@
 
 	// entrySet holds the other entries that a process knows.
 	entrySet struct {
-		mu     sync.Mutex
-		byAddr map[peer.Addr]*entryInfo
+		mu      sync.Mutex
+		timeout time.Duration // without a hello message after which an entry is not alive
+		byAddr  map[peer.Addr]*entryInfo
 	}
 
 	// entryInfo is the state of another entry. Times are those of process.now.
@@ -114,7 +118,7 @@
 		self:     peer.NewAddr(s.Address),
 		started:  time.Now(),
 		store:    platform.NewStore(s.StoreAddress),
-		entries:  &entrySet{byAddr: make(map[peer.Addr]*entryInfo)},
+		entries:  newEntrySet(entryTimeout),
 		gauges:   make(map[string]func() any),
 	}
 	for _, o := range options {
@@ -312,6 +316,12 @@
 	return ends
 }
 
+// newEntrySet returns an empty set whose entries are alive for timeout after their last
+// hello message.
+func newEntrySet(timeout time.Duration) *entrySet {
+	return &entrySet{timeout: timeout, byAddr: make(map[peer.Addr]*entryInfo)}
+}
+
 // add adds addresses of entries that may exist and returns those that were
 // unknown.
 func (s *entrySet) add(now time.Duration, addresses ...peer.Addr) []peer.Addr {
@@ -337,7 +347,7 @@
 		e = &entryInfo{added: now}
 		s.byAddr[from] = e
 	}
-	isNew = !e.active || now-e.lastHello > entryTimeout || e.incarnation != hello.Incarnation
+	isNew = !e.active || now-e.lastHello > s.timeout || e.incarnation != hello.Incarnation
 	if hello.Ready && !e.ready {
 		e.readySince = now
 	}
@@ -374,14 +384,14 @@
 	return out
 }
 
-// alive returns the entries that sent a hello message within entryTimeout and no
+// alive returns the entries that sent a hello message within the timeout and no
 // goodbye message since, in order of address.
 func (s *entrySet) alive(now time.Duration) []peer.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []peer.Addr
 	for a, e := range s.byAddr {
-		if e.active && now-e.lastHello <= entryTimeout {
+		if e.active && now-e.lastHello <= s.timeout {
 			out = append(out, a)
 		}
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -91,17 +91,17 @@
 
 // register keeps the registration of an entry in the store until the context
 // ends, and then removes it.
-func (p *process) register(ctx context.Context) error {
+func (e *Entry) register(ctx context.Context) error {
 	var lease uint64
 	lost := false
 	for ctx.Err() == nil {
 		var err error
-		lease, err = p.renew(ctx, lease)
+		lease, err = e.renew(ctx, lease, e.registrationMissing.Swap(false))
 		if err != nil && !lost && ctx.Err() == nil {
-			p.log.Warn("registration not renewed", daemon.Err(err))
+			e.log.Warn("registration not renewed", daemon.Err(err))
 		}
 		if err == nil && lost {
-			p.log.Info("registration renewed")
+			e.log.Info("registration renewed")
 		}
 		lost = err != nil
 		pause := renewInterval
@@ -110,7 +110,7 @@
 		}
 		sleep(ctx, pause)
 	}
-	p.unregister(lease)
+	e.unregister(lease)
 	return nil
 }
 
@@ -126,15 +126,18 @@
 	}
 }
 
-// renew renews the lease of the registration. If there is none, or the store no
-// longer has it, renew writes a new registration. It returns the lease to renew
-// next, 0 if there is none.
-func (p *process) renew(ctx context.Context, lease uint64) (uint64, error) {
+// renew renews the lease of the registration, and writes the registration again if it is
+// missing. If there is no lease, or the store no longer has it, renew writes a new
+// registration. It returns the lease to renew next, 0 if there is none.
+func (p *process) renew(ctx context.Context, lease uint64, missing bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if lease != 0 {
 		p.metrics.increment("store-renewals")
 		err := p.store.Renew(ctx, lease)
+		if err == nil && missing {
+			err = p.putRegistration(ctx, lease)
+		}
 		if err == nil || !errors.Is(err, platform.ErrNotFound) {
 			return lease, err
 		}
@@ -144,10 +147,15 @@
 	if err != nil {
 		return 0, err
 	}
-	p.metrics.increment("store-writes")
-	write := platform.Write{Key: entryPrefix + p.self.String(), Value: []byte(p.settings.Node), Lease: lease}
-	if err := p.store.Commit(ctx, platform.Txn{Writes: []platform.Write{write}}); err != nil {
+	if err := p.putRegistration(ctx, lease); err != nil {
 		return 0, err
 	}
 	return lease, nil
 }
+
+// putRegistration writes the registration with the lease.
+func (p *process) putRegistration(ctx context.Context, lease uint64) error {
+	p.metrics.increment("store-writes")
+	write := platform.Write{Key: entryPrefix + p.self.String(), Value: []byte(p.settings.Node), Lease: lease}
+	return p.store.Commit(ctx, platform.Txn{Writes: []platform.Write{write}})
+}
--- a/internal/kvstandin/store.go
+++ b/internal/kvstandin/store.go
@@ -130,6 +130,16 @@
 	s.put(item{Key: key, Value: value})
 }
 
+// Delete removes a key, if it exists, as an operator or another writer does.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; ok {
+		s.revision++
+		s.remove(key)
+	}
+}
+
 // Get returns the value of a key, and whether it exists.
 func (s *Store) Get(key string) ([]byte, bool) {
 	s.mu.Lock()
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// run runs the process and reloads its settings at SIGHUP until the context ends; if the
-// process ends earlier, run still waits for the end of the context. The log writer has a
+// run runs the process, and reloads its settings at SIGHUP meanwhile, until the context or
+// the process ends. The log writer has a
 // context of its own, so that it also writes the lines logged while the process stops.
 func (r *platformRunner) run(ctx context.Context) (err error) {
 	s, err := platform.ReadSettings()
@@ -91,10 +91,12 @@
 	if err != nil {
 		return err
 	}
+	reloadCtx, stopReloads := context.WithCancel(ctx)
+	defer stopReloads()
 	reloads := make(chan struct{})
 	go func() {
 		defer close(reloads)
-		reloadOnSIGHUP(ctx, log, func() error {
+		reloadOnSIGHUP(reloadCtx, log, func() error {
 			next, err := platform.ReadSettings()
 			if err != nil {
 				return err
@@ -104,6 +106,7 @@
 		})
 	}()
 	err = p.Run(ctx)
+	stopReloads()
 	<-reloads
 	return err
 }
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -77,13 +77,11 @@
 	// DefaultEntryTimeout is the time without packets from an entry after which
 	// replies are sent through another entry, if one is alive.
 	DefaultEntryTimeout = 2 * time.Second
+)
 
-	// recordNone means that there is no record of the flow.
-	//
-	// FIXME: iota is 8 here, not 0, so that the zero record, of kind 0, does not
-	// match recordNone. finishSearch passes such a record to forwardByRecord, which
-	// stores it with owner 0, and this and later datagrams of the flow are dropped
-	// with DropNoAddress.
+const (
+	// recordNone, the kind of the zero record, means that there is no record of the
+	// flow.
 	recordNone recordKind = iota
 	// recordOwned means that this member owns the flow.
 	recordOwned
--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -72,6 +72,20 @@
 	is.Equal(c.Stats().Snapshot().Drops["late-reply"], int64(1))
 }
 
+// TestReturnedSearchWithoutRecordPlacesFlow covers the datagram of a search that
+// returns to its initiator after the record of the search has expired. The flow must
+// be opened; its datagrams were dropped, as the record was taken for one with owner 0.
+func TestReturnedSearchWithoutRecordPlacesFlow(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	p := dataPacket(1, entry1)
+	p.UpdateFlags(tunnel.FlagSearch, 0).StartSearch(self.ID())
+	var out agent.Output
+	c.Handle(start, entry1, p, &out)
+	c.Handle(start, entry1, dataPacket(1, entry1), &out)
+	is.Equal(len(out.Deliveries()), 2)
+}
+
 func TestReplyIsSentThroughAnotherEntryAfterTimeout(t *testing.T) {
 	is := is.New(t)
 	c := newCore()
--- a/pkg/agent/entries.go
+++ b/pkg/agent/entries.go
@@ -47,9 +47,6 @@
 
 // markAlive records that the entry sent a packet at the given time, in nanoseconds
 // since 1970, and adds the entry if it is new.
-//
-// FIXME: two concurrent calls may both add a new entry, because the second lookup is
-// missing under the write lock. The duplicate in sorted makes removeSilent panic.
 func (t *Entries) markAlive(address netip.AddrPort, nanos int64) {
 	t.mu.RLock()
 	last, ok := t.entries[address]
@@ -60,6 +57,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if last, ok := t.entries[address]; ok { // a concurrent call has added it
+		last.Store(max(last.Load(), nanos))
+		return
+	}
 	if len(t.entries) >= maxEntries {
 		return
 	}
--- a/pkg/agent/peers.go
+++ b/pkg/agent/peers.go
@@ -183,10 +183,6 @@
 // updateSender records from any packet that its sender is alive and, if the sender
 // is a member, its address and load. The address is used while no view in use has
 // the sender.
-//
-// FIXME: Seal does not encode the entry address of a HeartbeatAck, so that the
-// acknowledgment of an entry, once received over a socket, is recorded as a packet
-// of a member and does not mark the entry alive.
 func (c *Core) updateSender(now time.Time, from netip.AddrPort, p *tunnel.Packet) {
 	switch {
 	case p.Kind() == tunnel.HeartbeatAck && p.EntryAddress().IsValid(), p.Kind() == tunnel.Data && p.Hops() == 0:
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -83,8 +83,12 @@
 
 // handleReturnedOpening handles an opening that none of its candidates accepted. It
 // offers the flow once to remaining agents of the service, see members.untried. If
-// there are none, or after that, it resets the flow.
+// there are none, or after that, it resets the flow. A copy of the opening that is
+// returned after an agent has accepted another one is dropped.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
+	if rec := s.flows[h.Flow]; rec != nil && rec.open {
+		return
+	}
 	if f.Stage == 0 {
 		if list := d.members.untried(now, f.Service, f.Candidates); len(list) > 0 {
 			s.flows[h.Flow] = &flowRecord{owner: list[0], service: f.Service, lastSeen: now, created: now}
@@ -156,7 +160,7 @@
 // upstream runs, those of all starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
 	isNew, restarted := d.members.update(now, from, status)
-	if start, empty := d.members.upstreamStart(from); restarted && (start != 0 || empty) {
+	if start, known := d.members.upstreamStart(from); restarted && known {
 		d.resetOtherStarts(from, start)
 	}
 	return isNew
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -331,17 +331,22 @@
 	return out
 }
 
-// upstreamStart returns the identifier of the last known start of an agent's upstream,
-// which may have ended, 0 if none is known. It also reports whether the agent has
-// reported that no upstream runs.
-func (m *members) upstreamStart(address peer.Addr) (start uint32, empty bool) {
+// upstreamStart returns the identifier of the start of an agent's upstream that runs, 0
+// if the agent has reported that none runs. known is false if the agent or its upstream's
+// start is unknown.
+func (m *members) upstreamStart(address peer.Addr) (start uint32, known bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	a, ok := m.agents[address]
-	if !ok || a.status.Upstream == "" {
-		return 0, ok && a.status.Empty
+	switch {
+	case !ok:
+		return 0, false
+	case a.status.Empty:
+		return 0, true
+	case a.status.Upstream == "":
+		return 0, false
 	}
-	return peer.StartID(a.status.Upstream, a.status.Born), a.status.Empty
+	return peer.StartID(a.status.Upstream, a.status.Born), true
 }
 
 // list returns the known agents, ordered by address.
--- a/pkg/director/returned_test.go
+++ b/pkg/director/returned_test.go
@@ -15,6 +15,14 @@
 // recordingPort records the processes that a director sends to, and drops the rest.
 type recordingPort struct{ sent *[]peer.Addr }
 
+// resetCountingPort counts the packets to callers, all of which are resets.
+type resetCountingPort struct {
+	recordingPort
+	resets *int
+}
+
+func (p resetCountingPort) ToCaller(segment.Flow, []byte) { *p.resets++ }
+
 func (p recordingPort) ToProcess(to peer.Addr, _ []byte)            { *p.sent = append(*p.sent, to) }
 func (recordingPort) ToCaller(segment.Flow, []byte)                 {}
 func (recordingPort) RecordLatency(director.Measure, time.Duration) {}
@@ -57,3 +65,43 @@
 	is.NoErr(d.HandleAgentDatagram(time.Second, peer.Addr{10, 0, 0, 2}, f.Append(nil)))
 	is.Equal(sent, []peer.Addr{other})
 }
+
+// TestLateReturnedOpeningKeepsAcceptedFlow covers a caller that retransmits its opening:
+// one agent accepts a copy, and another copy is returned later because its candidates
+// were busy. The flow must not be reset.
+func TestLateReturnedOpeningKeepsAcceptedFlow(t *testing.T) {
+	is := is.New(t)
+	resets := 0
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, resetCountingPort{recordingPort{new([]peer.Addr)}, &resets})
+	d.SetConfig(manyConfig(1, time.Second, sameService))
+	owner := peer.Addr{10, 0, 0, 3}
+	flow := segment.NewFlow(vipAt(1), vipAt(2))
+	is.NoErr(d.HandleAgentDatagram(time.Second, owner, peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Start: 7}.Append(nil)))
+	f := peer.Frame{
+		Kind: peer.Returned, OriginalKind: peer.Place, Entry: peer.Addr{10, 0, 0, 1}, Candidates: []peer.Addr{{10, 0, 0, 2}}, Hop: 1, Stage: 1,
+		Packet: platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Open}, false),
+	}
+	is.NoErr(d.HandleAgentDatagram(time.Second, peer.Addr{10, 0, 0, 2}, f.Append(nil)))
+	is.Equal(resets, 0)
+	is.Equal(d.Flows(), 1)
+}
+
+// TestReportOfEndedUpstreamResetsItsFlows covers an upstream that ends without starting
+// again: its agent reports the same start with Empty. Callers must get a reset at once
+// instead of at their next packet.
+func TestReportOfEndedUpstreamResetsItsFlows(t *testing.T) {
+	is := is.New(t)
+	resets := 0
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, resetCountingPort{recordingPort{new([]peer.Addr)}, &resets})
+	d.SetConfig(manyConfig(1, time.Second, sameService))
+	owner := peer.Addr{10, 0, 0, 3}
+	status := peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Born: 5, Taking: true, Slots: 2}
+	d.HandleReport(time.Second, owner, status)
+	flow := segment.NewFlow(vipAt(1), vipAt(2))
+	is.NoErr(d.HandleAgentDatagram(time.Second, owner, peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Start: peer.StartID("u", 5)}.Append(nil)))
+	is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 9}, false)))
+	status.Sequence, status.Taking, status.Empty = 2, false, true
+	d.HandleReport(2*time.Second, owner, status)
+	is.Equal(resets, 1)
+	is.Equal(d.Flows(), 0)
+}
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -118,7 +118,7 @@
 		s.mu.Unlock()
 	}
 	for _, a := range d.members.list() {
-		if start, empty := d.members.upstreamStart(a); start != 0 || empty {
+		if start, known := d.members.upstreamStart(a); known {
 			d.resetOtherStarts(a, start)
 		}
 	}
--- a/pkg/tunnel/codec.go
+++ b/pkg/tunnel/codec.go
@@ -64,6 +64,9 @@
 			n += memberIDBytes + 2 + candidatesSize(p.search.targets[:p.search.targetCount])
 		}
 	}
+	if p.kind == HeartbeatAck {
+		n += addrSize(p.entryAddress)
+	}
 	return n + len(p.payload)
 }
 
@@ -99,6 +102,9 @@
 	if p.kind.hasFlow() {
 		b = p.appendFlow(b)
 	}
+	if p.kind == HeartbeatAck {
+		b = appendAddr(b, p.entryAddress)
+	}
 	return append(b, p.payload...)
 }
 
@@ -167,6 +173,9 @@
 	if kind.hasFlow() {
 		p.readFlow(&r)
 	}
+	if kind == HeartbeatAck && len(r.rest) > 0 { // earlier versions sent no address
+		p.entryAddress = r.addr()
+	}
 	p.payload = r.rest
 	return r.err
 }
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -61,6 +61,21 @@
 	is.Equal(string(got.Payload()), "hello")
 }
 
+// TestHeartbeatAckKeepsEntryAddress covers the acknowledgment of an entry: without the
+// address, an agent takes it for a packet of a member and does not mark the entry alive.
+func TestHeartbeatAckKeepsEntryAddress(t *testing.T) {
+	for _, entry := range []netip.AddrPort{agent, {}} { // a member's acknowledgment has no address
+		is := is.New(t)
+		ack := tunnel.NewPacket(tunnel.HeartbeatAck, 7, 11, 12)
+		ack.SetEntryAddress(entry)
+		b := seal(t, oldKey, ack)
+		is.Equal(len(b), ack.SealedSize())
+		var got tunnel.Packet
+		is.NoErr(tunnel.NewOpener(tunnel.NewKeys(oldKey), 16).Open(b, &got))
+		is.Equal(got.EntryAddress(), entry)
+	}
+}
+
 func TestOpenReturnsDropReason(t *testing.T) {
 	good := seal(t, oldKey, packet())
 	tampered := bytes.Clone(good)
