Let openings wait beside the least busy upstream, newest first

Ruled out: missing agents; all slots were busy.

Hypothesis: an opening that waits for a slot costs its caller no attempt. Change: at the end of its list an opening is sent to the least busy agent, which keeps it for up to a quarter of the route's timeout. An opening counts as a request until that has arrived.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -53,6 +53,12 @@
 		rec = &flowRecord{created: now}
 		s.flows[o.Flow] = rec
 	}
+	if o.Waiting {
+		if !rec.open && !rec.searching {
+			rec.owner, rec.service, rec.lastSeen = from, d.members.service(from), now
+		}
+		return
+	}
 	if !rec.searching && !rec.open {
 		d.port.RecordLatency(Opening, now-rec.created)
 	}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -8,6 +8,11 @@
 	"hickoryhook.example/pkg/segment"
 )
 
+const (
+	patienceShare   = 0.25
+	defaultPatience = 200 * time.Millisecond
+)
+
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
 // recorded owner if that is usable; otherwise the flow is placed again.
 func (d *Director) handleOpening(now time.Duration, s *shard, h segment.Header, r route.Route, packet []byte) {
@@ -36,7 +41,15 @@
 	}
 	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
-	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Packet: packet})
+	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Patience: patience(r), Packet: packet})
+}
+
+// patience returns how long an opening of the route may wait for a slot.
+func patience(r route.Route) time.Duration {
+	if r.Timeout == 0 {
+		return defaultPatience
+	}
+	return time.Duration(float64(r.Timeout) * patienceShare)
 }
 
 // refuseOpening resets an opening for which there is no agent, if it is certain
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -14,7 +14,9 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -54,11 +56,17 @@
 	// each and a packet of 1500.
 	MaxFrame = headerSize + 4*MaxCandidates + 1500
 
+	// patienceUnit is the unit of Frame.Patience in a datagram.
+	patienceUnit = 8 * time.Millisecond
+
 	magic      = 0x68
 	headerSize = 20
 
 	flagUncertain = 1
 	flagForced    = 2
+
+	// flagWaiting is a flag of an OwnerMessage.
+	flagWaiting = 1
 )
 
 // ErrInvalidFrame reports a datagram that is not a valid frame or message, or is of a
@@ -108,6 +116,9 @@
 		// all slots are busy or the upstream is ejected, but not if the upstream is
 		// draining or does not run.
 		Forced bool
+		// Patience is how long an agent may let the opening wait for a slot.
+		// It is sent in units of patienceUnit, up to maxPatience.
+		Patience time.Duration
 		// Candidates are the agents that may receive the packet, in order.
 		Candidates []Addr
 		// Packet is the caller's packet. Decode does not copy it.
@@ -147,7 +158,7 @@
 // Append appends the encoded frame to b.
 //
 // Layout: magic, kind, original kind, flags, entry (4), service (4), hop, count,
-// stage, round, best, best load, two zeros, count addresses (4 each), packet.
+// stage, round, best, best load, patience, zero, count addresses (4 each), packet.
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Uncertain {
@@ -159,13 +170,16 @@
 	b = append(b, magic, byte(f.Kind), byte(f.OriginalKind), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, 0, 0)
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, encodePatience(f.Patience), 0)
 	for _, c := range f.Candidates {
 		b = append(b, c[:]...)
 	}
 	return append(b, f.Packet...)
 }
 
+// encodePatience returns d in units of patienceUnit, at most 255.
+func encodePatience(d time.Duration) byte { return byte(min(d/patienceUnit, math.MaxUint8)) }
+
 // Decode decodes a frame. It reuses f.Candidates; Packet points into b. It returns
 // ErrInvalidFrame if the header is invalid, but does not check the kind.
 func (f *Frame) Decode(b []byte) error {
@@ -180,6 +194,7 @@
 	count := int(b[13])
 	f.Stage, f.Round = int(b[14]), b[15]
 	f.Best, f.BestLoad = int(b[16]), b[17]
+	f.Patience = time.Duration(b[18]) * patienceUnit
 	if count > MaxCandidates || f.Hop > count || f.Best > count || len(b) < headerSize+4*count {
 		return ErrInvalidFrame
 	}
@@ -201,6 +216,9 @@
 	// Start identifies the start of the upstream, see StartID; 0 if the agent does
 	// not know it yet. Only in Owned.
 	Start uint32
+	// Waiting means that the upstream does not hold the flow yet: its opening waits at
+	// the agent. Only in Owned.
+	Waiting bool
 	// Acknowledged is the caller's last acknowledgement number, 0 if unknown. It
 	// tells apart two upstreams that both accepted the caller's opening. Only in
 	// OwnerQuery.
@@ -218,9 +236,13 @@
 
 // Append appends the encoded datagram to b.
 //
-// Layout: magic, kind, two zeros, Start or Acknowledged by kind (4), flow (12).
+// Layout: magic, kind, flags, zero, Start or Acknowledged by kind (4), flow (12).
 func (o OwnerMessage) Append(b []byte) []byte {
-	b = append(b, magic, byte(o.Kind), 0, 0)
+	var flags byte
+	if o.Waiting {
+		flags |= flagWaiting
+	}
+	b = append(b, magic, byte(o.Kind), flags, 0)
 	number := o.Start
 	if o.Kind == OwnerQuery {
 		number = o.Acknowledged
@@ -236,6 +258,7 @@
 		return ErrInvalidFrame
 	}
 	o.Kind = Kind(b[1])
+	o.Waiting = b[2]&flagWaiting != 0
 	o.Start, o.Acknowledged = binary.BigEndian.Uint32(b[4:]), 0
 	if o.Kind == OwnerQuery {
 		o.Start, o.Acknowledged = 0, o.Start
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -26,6 +26,7 @@
 	inUse := s != nil && s.phase != closed && !s.callerDone && !s.upstreamDone
 	r.recordUpstreamPacket(now, h)
 	r.port.ToCaller(h.Flow, packet)
+	r.serveWaiting(now)
 	if !h.Has(segment.Reset) {
 		return false, nil
 	}
@@ -70,6 +71,7 @@
 		Entry:      c.entry,
 		Service:    c.service,
 		Candidates: c.candidates,
+		Patience:   c.patience,
 		Packet:     packet,
 	}
 	r.codec.SetTag(packet, 0)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -42,6 +42,8 @@
 	// runningTimeout is how long a request without an answer counts as running.
 	// It exceeds the longest deadline of a caller, 6 s.
 	runningTimeout = 10 * time.Second
+	// expectTimeout is how long an opened flow is expected to bring a request.
+	expectTimeout = 15 * time.Millisecond
 	// activeWindow is how long after a caller's last packet its flow counts as
 	// load. Callers pause for 1 to 3 s between requests; a flow that its caller
 	// has abandoned stays open at the upstream for longer.
@@ -129,6 +131,9 @@
 		openFlows       int  // flows in phase accepted
 		activeFlows     int  // at the last Tick: open flows with a caller's packet within activeWindow
 		runningRequests int  // flows in which running is set
+		expected        int  // flows in which expectsRequest is set
+		waiting         waitingQueue
+		expecting       []*flowState
 		detector        outlierDetector
 		lifetime        time.Duration // idle time after which an accepted flow is removed
 	}
@@ -140,18 +145,19 @@
 
 	// flowState is the relay's cached state of a flow at its upstream.
 	flowState struct {
-		phase         phase
-		firstKnown    bool          // firstSequence is set
-		firstSequence uint32        // the upstream's first sequence number
-		acknowledged  uint32        // the caller's last acknowledgement number or expected first, 0 if none
-		running       bool          // a request has had no answer for at most runningTimeout
-		callerDone    bool          // the caller has sent Fin
-		upstreamDone  bool          // the upstream has sent Fin
-		entry         peer.Addr     // of the caller's last packet, zero if unknown
-		upstreamSeen  time.Duration // when the upstream's last packet came
-		lastSeen      time.Duration // when the last packet of either end came
-		callerSeen    time.Duration // when the caller's last packet came
-		waitingSince  time.Duration // when the unanswered request, or packet that added the flow, came
+		phase          phase
+		firstKnown     bool          // firstSequence is set
+		firstSequence  uint32        // the upstream's first sequence number
+		acknowledged   uint32        // the caller's last acknowledgement number or expected first, 0 if none
+		expectsRequest bool          // opened, and its first request has not arrived
+		running        bool          // a request has had no answer for at most runningTimeout
+		callerDone     bool          // the caller has sent Fin
+		upstreamDone   bool          // the upstream has sent Fin
+		entry          peer.Addr     // of the caller's last packet, zero if unknown
+		upstreamSeen   time.Duration // when the upstream's last packet came
+		lastSeen       time.Duration // when the last packet of either end came
+		callerSeen     time.Duration // when the caller's last packet came
+		waitingSince   time.Duration // when the unanswered request, or packet that added the flow, came
 	}
 
 	// deliveryContext holds the fields of a frame whose packet was delivered to
@@ -169,6 +175,7 @@
 		entry      peer.Addr
 		service    peer.ServiceID
 		candidates []peer.Addr
+		patience   time.Duration
 	}
 
 	// Option configures a Relay in New.
@@ -179,6 +186,8 @@
 const (
 	// Offered: an opening was offered to the upstream.
 	Offered Event = "taken"
+	// Delayed: an opening waits for a slot of the upstream.
+	Delayed Event = "delayed"
 	// Forwarded: a frame was sent to the next agent on its list, or to the least
 	// busy one as a forced opening.
 	Forwarded Event = "passed-on"
@@ -311,6 +320,7 @@
 	c.tag, c.kind, c.uncertain = r.lastTag, f.Kind, f.Uncertain
 	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
+	c.patience = f.Patience
 	c.candidates = append(c.candidates[:0], f.Candidates...)
 	r.codec.SetTag(f.Packet, r.lastTag)
 	r.port.ToUpstream(f.Packet)
@@ -325,7 +335,7 @@
 	switch {
 	case f.Forced:
 		f.Hop = len(f.Candidates)
-	case f.Hop >= len(f.Candidates) && f.Best > 0 && f.BestLoad <= loadScale*maxRunningPerSlot:
+	case f.Hop >= len(f.Candidates) && f.Best > 0 && (f.BestLoad <= loadScale*maxRunningPerSlot || f.Patience > 0):
 		f.Hop, f.Forced = f.Best-1, true
 	}
 	if f.Hop < len(f.Candidates) {
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -25,6 +25,9 @@
 	if h.Has(segment.Ack) {
 		s.acknowledged = h.Acknowledged
 	}
+	if h.Length > 0 {
+		r.setExpectsRequest(s, false)
+	}
 	if h.Length > 0 && s.phase == accepted && !s.running {
 		s.waitingSince = now
 		r.setRunning(s, true)
@@ -107,6 +110,7 @@
 		r.openFlows--
 	}
 	r.setRunning(s, false)
+	r.setExpectsRequest(s, false)
 	s.phase = closed
 }
 
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -100,11 +100,15 @@
 		if s.running && now-s.waitingSince > runningTimeout {
 			r.setRunning(s, false)
 		}
+		if s.expectsRequest && now-s.waitingSince > expectTimeout {
+			r.setExpectsRequest(s, false)
+		}
 		idle := now - s.lastSeen
 		if idle > r.lifetime || idle > closedRetention && s.phase != accepted {
 			r.remove(flow, s)
 		}
 	}
+	r.serveWaiting(now)
 }
 
 // Stop resets the flows of the upstream if it has deregistered. It is to be called
