Offer openings to the route's other services before they wait

Cause: while inspect-svc was overloaded, the slots of bundle-svc were idle, although the route gives it a tenth of the same flows. Hypothesis: a flow that no upstream of its service can take at once is served sooner by the other one. Change: an opening is offered in stages: the choices, the other agents of the service, the route's other services with a weight, and then it waits at the least busy agent of its service.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -87,21 +87,30 @@
 	}
 }
 
-// handleReturnedOpening handles an opening that none of its candidates accepted. It
-// offers the flow once to remaining agents of the service, see members.untried. If
-// there are none, or after that, it resets the flow. A copy of the opening that is
-// returned after an agent has accepted another one is dropped.
+// handleReturnedOpening handles an opening that none of its candidates accepted: it is
+// offered to those of the next stage. After the last stage the flow is reset. A copy of
+// the opening that is returned after an agent has accepted another one is dropped.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
-	if rec := s.flows[h.Flow]; rec != nil && rec.open {
+	rec := s.flows[h.Flow]
+	if rec == nil {
+		rec = &flowRecord{}
+	}
+	if rec.open {
 		return
 	}
-	if f.Stage == 0 {
-		if list := d.members.untried(now, f.Service, f.Candidates); len(list) > 0 {
-			s.flows[h.Flow] = &flowRecord{owner: list[0], service: f.Service, lastSeen: now, created: now}
-			d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: list[0], Tried: len(f.Candidates)})
-			d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: f.Service, Candidates: list, Stage: 1, Packet: f.Packet})
-			return
+	rec.noteLeastBusy(f)
+	r, _ := d.config.Load().Lookup(h.Flow.VIP())
+	for stage := f.Stage + 1; stage <= lastOpeningStage; stage++ {
+		next := d.openingStage(now, stage, rec, r, f, h)
+		if len(next.Candidates) == 0 {
+			continue
 		}
+		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
+		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
+		s.flows[h.Flow] = rec
+		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: next.Candidates[0], Tried: len(f.Candidates)})
+		d.send(s, next.Candidates[0], &next)
+		return
 	}
 	delete(s.flows, h.Flow)
 	d.reset(NotAccepted, h, len(f.Candidates))
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -22,7 +22,6 @@
 	m.sortByRendezvous(agents, hash)
 	choices := agents[:min(openingChoices, len(agents))]
 	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(m.cost(now, a), m.cost(now, b)) })
-	choices = agents[:min(openingListLength, len(agents))]
 	first := choices[0]
 	load, age := first.load(now), now-first.reportedAt
 	first.pending++
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -30,8 +30,7 @@
 	pauseThreshold = time.Second
 	// openingChoices is the number of agents that are compared for a new flow, the
 	// first in its rendezvous order.
-	openingChoices    = 5
-	openingListLength = 8
+	openingChoices = 5
 	// coldPenalty is the factor by which an upstream is slower while it is cold,
 	// that is during its warm-up.
 	coldPenalty = 1.6
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -335,7 +335,7 @@
 	switch {
 	case f.Forced:
 		f.Hop = len(f.Candidates)
-	case f.Hop >= len(f.Candidates) && f.Best > 0 && (f.BestLoad <= loadScale*maxRunningPerSlot || f.Patience > 0):
+	case f.Hop >= len(f.Candidates) && f.Best > 0 && f.BestLoad <= loadScale*maxRunningPerSlot:
 		f.Hop, f.Forced = f.Best-1, true
 	}
 	if f.Hop < len(f.Candidates) {
@@ -343,7 +343,7 @@
 		r.send(f.Candidates[f.Hop], f)
 		return
 	}
-	f.Forced, f.Best, f.BestLoad = false, 0, 0
+	f.Forced = false
 	r.port.RecordDecision(ReturnedToEntry, h.Flow, f)
 	f.OriginalKind, f.Kind = f.Kind, peer.Returned
 	r.send(f.Entry, f)
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -86,6 +87,12 @@
 	}
 }
 
+// PickOther is Pick without the services for which excluded returns true.
+func (r Route) PickOther(hash uint64, excluded func(service string) bool) (string, bool) {
+	r.Shares = slices.DeleteFunc(slices.Clone(r.Shares), func(s Share) bool { return excluded(s.Service) })
+	return r.Pick(hash)
+}
+
 // Pick returns the service for a new flow, selected by the hash in proportion to
 // the weights. It returns false if the total weight is 0.
 func (r Route) Pick(hash uint64) (string, bool) {
