Trial: openings of requests that are late already wait behind the others

Hypothesis: a retry (an opening within 25 ms of a reset to the same caller) and a copy of an opening are late already; others that wait may still be in time.

--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -155,6 +155,7 @@
 		members    *members
 		history    history
 		queryLimit tokenBucket
+		retries    retryTracker
 		shards     [shardCount]shard
 	}
 
@@ -179,6 +180,7 @@
 		searchedAt       time.Duration // when the search was started or repeated
 		acknowledged     uint32        // last acknowledgement number of the caller, 0 if none
 		lastSeen         time.Duration // time of the last packet or Owned message
+		late             bool
 		leastBusy        peer.Addr
 		leastBusyLoad    uint8
 		leastBusyService peer.ServiceID
@@ -312,7 +314,7 @@
 	if rec != nil {
 		event = RouteDropped
 	}
-	d.reset(event, h, 0)
+	d.reset(now, event, h, 0)
 }
 
 // configCurrent reports whether the configuration was verified within maxConfigAge.
@@ -370,8 +372,9 @@
 
 // reset sends a reset to the caller of a flow and records the event. The sequence
 // number of the reset is h.Acknowledged; tried is for Decision.Tried.
-func (d *Director) reset(event Event, h segment.Header, tried int) {
+func (d *Director) reset(now time.Duration, event Event, h segment.Header, tried int) {
 	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
+	d.retries.noteReset(now, h.Flow)
 	version := uint64(0)
 	if c := d.config.Load(); c != nil {
 		version = c.Version()
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -63,6 +63,7 @@
 		Kind:       c.kind,
 		Uncertain:  c.uncertain,
 		Forced:     c.forced,
+		Late:       c.late,
 		Best:       c.best,
 		BestLoad:   c.bestLoad,
 		Stage:      c.stage,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -164,6 +164,7 @@
 	// the upstream, to restore the frame if the upstream bounces the packet.
 	deliveryContext struct {
 		forced     bool
+		late       bool
 		best       int
 		bestLoad   uint8
 		tag        uint32
@@ -318,7 +319,7 @@
 	r.lastTag++
 	c := &r.contexts[r.lastTag%contextCount]
 	c.tag, c.kind, c.uncertain = r.lastTag, f.Kind, f.Uncertain
-	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
+	c.late, c.forced, c.best, c.bestLoad = f.Late, f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.patience = f.Patience
 	c.candidates = append(c.candidates[:0], f.Candidates...)
--- a/pkg/relay/waiting.go
+++ b/pkg/relay/waiting.go
@@ -44,13 +44,13 @@
 }
 
 func (q *waitingQueue) next() *waitingOpening {
-	i := 0
-	if lifoOrder {
-		i = len(q.list) - 1
+	best := len(q.list) - 1
+	for i := best - 1; i >= 0; i-- {
+		if !q.list[i].frame.Late && q.list[best].frame.Late {
+			best = i
+		}
 	}
-	w := q.list[i]
-	q.list = slices.Delete(q.list, i, i+1)
+	w := q.list[best]
+	q.list = slices.Delete(q.list, best, best+1)
 	return w
 }
-
-const lifoOrder = true
