Let openings of urgent routes wait before the others

Cause: a route's priority was not read; audit-session (priority 1, twice the payoff) waited with revocation-watch (2). Change: the frame carries the priority of the route, and the queue orders by it first.

--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -72,7 +72,7 @@
 		if rec.leastBusy == (peer.Addr{}) {
 			return peer.Frame{}
 		}
-		return peer.Frame{Service: rec.leastBusyService, Candidates: []peer.Addr{rec.leastBusy}, Forced: true, Patience: patience(r)}
+		return peer.Frame{Service: rec.leastBusyService, Candidates: []peer.Addr{rec.leastBusy}, Forced: true, Patience: patience(r), Priority: r.Priority}
 	}
 	return peer.Frame{}
 }
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -120,6 +120,8 @@
 		// Late means that the request of an opening is unlikely to be answered within
 		// the target latency any more.
 		Late bool
+		// Priority of an opening is its route's: 0 comes first.
+		Priority uint8
 		// Patience is how long an agent may let the opening wait for a slot.
 		// It is sent in units of patienceUnit, up to maxPatience.
 		Patience time.Duration
@@ -177,7 +179,7 @@
 	b = append(b, magic, byte(f.Kind), byte(f.OriginalKind), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, encodePatience(f.Patience), 0)
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, encodePatience(f.Patience), f.Priority)
 	for _, c := range f.Candidates {
 		b = append(b, c[:]...)
 	}
@@ -201,6 +203,7 @@
 	count := int(b[13])
 	f.Stage, f.Round = int(b[14]), b[15]
 	f.Best, f.BestLoad = int(b[16]), b[17]
+	f.Priority = b[19]
 	f.Patience = time.Duration(b[18]) * patienceUnit
 	if count > MaxCandidates || f.Hop > count || f.Best > count || len(b) < headerSize+4*count {
 		return ErrInvalidFrame
--- a/pkg/relay/waiting.go
+++ b/pkg/relay/waiting.go
@@ -18,6 +18,13 @@
 	list []*waitingOpening
 }
 
+func (w *waitingOpening) before(o *waitingOpening) bool {
+	if w.frame.Priority != o.frame.Priority {
+		return w.frame.Priority < o.frame.Priority
+	}
+	return !w.frame.Late && o.frame.Late
+}
+
 func (q *waitingQueue) len() int { return len(q.list) }
 
 func (q *waitingQueue) has(f segment.Flow) bool {
@@ -46,7 +53,7 @@
 func (q *waitingQueue) next() *waitingOpening {
 	best := len(q.list) - 1
 	for i := best - 1; i >= 0; i-- {
-		if !q.list[i].frame.Late && q.list[best].frame.Late {
+		if q.list[i].before(q.list[best]) {
 			best = i
 		}
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -32,6 +32,10 @@
 		Shares []Share
 		// Timeout is the maximum duration of a request on this route.
 		Timeout time.Duration
+		// Target is the time within which callers want the answer, 0 if not known.
+		Target time.Duration
+		// Priority orders requests that wait for the same resources: 0 comes first.
+		Priority uint8
 		// Idempotent means that requests may be repeated.
 		Idempotent bool
 	}
