Repeat searches without a result once the entry is settled

Cause: an entry that has just started cannot tell for 0.6 s whether a flow is lost. Callers that retransmit in that time get no reset, and their next retransmission comes after 1.4 s or more, past the deadline of many. Hypothesis: the entry can repeat the search itself. Change: it keeps the last packet of such a flow and repeats the search when it is settled.

--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -1,12 +1,19 @@
 package director
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 )
 
+const (
+	repeatWindow      = 2 * time.Second
+	searchRepeatAfter = 200 * time.Millisecond
+)
+
 // startSearch discards the recorded owner and starts a search through the agents
 // that may own the flow.
 func (d *Director) startSearch(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
@@ -15,6 +22,7 @@
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
+	rec.packet = append(rec.packet[:0], packet...)
 	rec.stages = d.planSearch(now, h.Flow)
 	rec.round++
 	d.port.RecordDecision(Decision{Event: Searched, Flow: h.Flow})
@@ -66,6 +74,25 @@
 	return d.members.searchStages(now, d.holderServices(f), d.history.complete(), f.Hash())
 }
 
+// repeatSearches repeats the searches of the shard that have not found an owner, with the
+// caller's last packet: the caller's own retransmissions come ever later, and its request
+// may have been lost with its upstream.
+func (d *Director) repeatSearches(now time.Duration, s *shard) {
+	for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
+		rec := s.flows[flow]
+		if !rec.searching || rec.packet == nil || now-rec.lastSeen > repeatWindow || now-rec.searchedAt < searchRepeatAfter {
+			continue
+		}
+		h, err := d.codec.FromCaller(rec.packet)
+		if err != nil {
+			continue
+		}
+		seen := rec.lastSeen
+		d.startSearch(now, s, rec, h, slices.Clone(rec.packet))
+		rec.lastSeen = seen
+	}
+}
+
 // queryAll repeats a search that has not found the owner in time. It sends an owner
 // query to all agents that may own the flow at once, unless the rate limit forbids
 // it, and sends the packet through the stages of the search again.
