Decide admission beside the upstream in pkg/admission, from what the agent observes

Cause: maxRunningPerSlot (2) and the time for which an opening counts (15 ms) were fitted to one site's service times and distances. Change: package admission observes the time from an opening to its request (smoothed like the retransmission timeout of TCP) and the service time (time of busy slots per answer), and gives the upstream as many requests as keep its slots busy. The late class goes: it is worth nothing.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -120,7 +120,7 @@
 // deregistered, the goodbye message announces that the agent will be restarted.
 func (a *Agent) stop() {
 	a.stopping.Store(true)
-	a.relay.Stop()
+	a.relay.Stop(a.now())
 	a.sendMessage(peer.Goodbye, peer.GoodbyeMessage{Restarting: !a.relay.Deregistered()}, a.entries.known(a.now())...)
 	time.Sleep(closeDelay)
 	if err := errors.Join(a.peerConn.Close(), a.upstreamConn.Close()); err != nil {
@@ -307,7 +307,7 @@
 	if last == 0 || a.upstreamEnded.Load() || a.now()-last < time.Duration(overdueIntervals*float64(a.settings.HeartbeatInterval)) {
 		return
 	}
-	if listening, known := a.upstreamListens(); known && !listening && a.relay.MarkEnded() {
+	if listening, known := a.upstreamListens(); known && !listening && a.relay.MarkEnded(a.now()) {
 		a.upstreamEnded.Store(true)
 		a.log.Warn("upstream ended", zap.Duration("since-heartbeat", a.now()-last))
 		a.report()
@@ -321,7 +321,7 @@
 // arrived by then.
 func (a *Agent) probeUpstreamAtStart() {
 	listening, known := a.upstreamListens()
-	if known && !listening && a.lastHeartbeat.Load() == 0 && a.relay.MarkEnded() {
+	if known && !listening && a.lastHeartbeat.Load() == 0 && a.relay.MarkEnded(a.now()) {
 		a.log.Info("upstream not listening yet")
 	}
 	if !known || !listening {
@@ -337,7 +337,7 @@
 		a.log.Info("health check response not closed", daemon.Err(err))
 	}
 	if resp.StatusCode == http.StatusOK && a.lastHeartbeat.Load() == 0 {
-		a.relay.AssumeReady(assumedSlots)
+		a.relay.AssumeReady(a.now(), assumedSlots)
 	}
 	a.log.Info("health check of upstream", zap.Int("status", resp.StatusCode))
 }
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -67,9 +67,9 @@
 	i.agentUp, i.sequence, i.agentStarted = true, 0, w.now()
 	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i)
 	if i.upstream == nil {
-		i.relay.MarkEnded()
+		i.relay.MarkEnded(i.world.now())
 	} else if !i.upstream.draining {
-		i.relay.AssumeReady(1)
+		i.relay.AssumeReady(i.world.now(), 1)
 	}
 	running := func() bool { return i.agentUp && i.generation == generation && !i.removed }
 	w.Every(tickInterval, tickInterval, func() bool {
@@ -165,7 +165,7 @@
 // instance is removed after tickInterval, unless the agent has been started again
 // by then.
 func (i *Instance) StopAgent() {
-	i.relay.Stop()
+	i.relay.Stop(i.world.now())
 	i.broadcast(peer.Goodbye, peer.GoodbyeMessage{})
 	i.world.After(tickInterval/10, i.sendReport) // a report in flight that arrives after the goodbye
 	generation := i.generation
@@ -193,7 +193,7 @@
 	i.upstream = nil
 	i.world.After(heartbeatInterval, func() {
 		if i.upstream == nil && i.agentUp {
-			i.relay.MarkEnded()
+			i.relay.MarkEnded(i.world.now())
 			i.sendReport()
 		}
 	})
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -105,7 +105,7 @@
 		if len(next.Candidates) == 0 {
 			continue
 		}
-		next.Kind, next.Entry, next.Stage, next.Packet, next.Late = peer.Place, d.self, stage, f.Packet, rec.late
+		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
 		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
 		s.flows[h.Flow] = rec
 		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: next.Candidates[0], Tried: len(f.Candidates)})
@@ -113,7 +113,7 @@
 		return
 	}
 	delete(s.flows, h.Flow)
-	d.reset(now, NotAccepted, h, len(f.Candidates))
+	d.reset(NotAccepted, h, len(f.Candidates))
 }
 
 // handleReturnedDelivery handles a packet that an agent returned because it does not
@@ -165,7 +165,7 @@
 	}
 	delete(s.flows, h.Flow)
 	if !h.Has(segment.Reset) {
-		d.reset(now, OwnerNotFound, h, 0)
+		d.reset(OwnerNotFound, h, 0)
 	}
 }
 
@@ -176,7 +176,7 @@
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
 	isNew, restarted := d.members.update(now, from, status)
 	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.resetOtherStarts(now, from, start)
+		d.resetOtherStarts(from, start)
 	}
 	return isNew
 }
@@ -191,7 +191,7 @@
 // resetOtherStarts removes the cached flows that belong to other known starts of the
 // owner's upstream than the given one; 0 means that no upstream runs. It resets those
 // for which an acknowledgement number is known.
-func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
+func (d *Director) resetOtherStarts(owner peer.Addr, start uint32) {
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
@@ -206,7 +206,7 @@
 			// flow without an acknowledgement is reset when its next packet starts
 			// a search that finds no owner.
 			if rec.acknowledged != 0 {
-				d.reset(now, UpstreamGone, segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, 0)
+				d.reset(UpstreamGone, segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, 0)
 			}
 		}
 		s.mu.Unlock()
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -155,7 +155,6 @@
 		members    *members
 		history    history
 		queryLimit tokenBucket
-		retries    retryTracker
 		shards     [shardCount]shard
 	}
 
@@ -181,7 +180,6 @@
 		searchedAt       time.Duration // when the search was started or repeated
 		acknowledged     uint32        // last acknowledgement number of the caller, 0 if none
 		lastSeen         time.Duration // time of the last packet or Owned message
-		late             bool
 		leastBusy        peer.Addr
 		leastBusyLoad    uint8
 		leastBusyService peer.ServiceID
@@ -315,7 +313,7 @@
 	if rec != nil {
 		event = RouteDropped
 	}
-	d.reset(now, event, h, 0)
+	d.reset(event, h, 0)
 }
 
 // configCurrent reports whether the configuration was verified within maxConfigAge.
@@ -374,9 +372,8 @@
 
 // reset sends a reset to the caller of a flow and records the event. The sequence
 // number of the reset is h.Acknowledged; tried is for Decision.Tried.
-func (d *Director) reset(now time.Duration, event Event, h segment.Header, tried int) {
+func (d *Director) reset(event Event, h segment.Header, tried int) {
 	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
-	d.retries.noteReset(now, h.Flow)
 	version := uint64(0)
 	if c := d.config.Load(); c != nil {
 		version = c.Version()
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -31,7 +31,7 @@
 	name, ok := r.Pick(h.Flow.Hash())
 	service := peer.Service(name)
 	if !ok {
-		d.reset(now, NotAccepted, h, 0)
+		d.reset(NotAccepted, h, 0)
 		return
 	}
 	list, load, age := d.members.openingCandidates(now, service, h.Flow.Hash())
@@ -39,10 +39,9 @@
 		d.refuseOpening(now, h)
 		return
 	}
-	late := h.Acknowledged > 0 || d.retries.isRetry(now, h.Flow)
-	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now, late: late}
+	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
-	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Late: late, Packet: packet})
+	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Packet: packet})
 }
 
 // The stages in which an opening is offered, one after the other.
@@ -99,5 +98,5 @@
 	if !d.settled(now) {
 		return // an agent that has not reported yet may accept the flow
 	}
-	d.reset(now, NotAccepted, h, 0)
+	d.reset(NotAccepted, h, 0)
 }
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -64,7 +64,6 @@
 
 	flagUncertain = 1
 	flagForced    = 2
-	flagLate      = 4
 
 	// flagWaiting is a flag of an OwnerMessage.
 	flagWaiting = 1
@@ -117,9 +116,6 @@
 		// all slots are busy or the upstream is ejected, but not if the upstream is
 		// draining or does not run.
 		Forced bool
-		// Late means that the request of an opening is unlikely to be answered within
-		// the target latency any more.
-		Late bool
 		// Priority of an opening is its route's: 0 comes first.
 		Priority uint8
 		// Patience is how long an agent may let the opening wait for a slot.
@@ -173,9 +169,6 @@
 	if f.Forced {
 		flags |= flagForced
 	}
-	if f.Late {
-		flags |= flagLate
-	}
 	b = append(b, magic, byte(f.Kind), byte(f.OriginalKind), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
@@ -196,7 +189,7 @@
 		return ErrInvalidFrame
 	}
 	f.Kind, f.OriginalKind = Kind(b[1]), Kind(b[2])
-	f.Uncertain, f.Forced, f.Late = b[3]&flagUncertain != 0, b[3]&flagForced != 0, b[3]&flagLate != 0
+	f.Uncertain, f.Forced = b[3]&flagUncertain != 0, b[3]&flagForced != 0
 	copy(f.Entry[:], b[4:])
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[8:]))
 	f.Hop = int(b[12])
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -19,7 +19,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h.Has(segment.Bounced) {
-		r.handleBounced(h, packet)
+		r.handleBounced(now, h, packet)
 		return false, nil
 	}
 	s := r.flows[h.Flow]
@@ -50,20 +50,19 @@
 // context that deliver stored under the packet's tag. The flow is removed from the
 // table, unless the packet is a retransmitted opening of a flow that the upstream
 // has accepted. A packet without a context is dropped, see BouncedWithoutContext.
-func (r *Relay) handleBounced(h segment.Header, packet []byte) {
+func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
 	c := &r.contexts[h.Tag%contextCount]
 	if c.tag != h.Tag || c.kind == 0 {
 		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
 		return
 	}
 	if s := r.flows[h.Flow]; s != nil && (!h.Opens() || s.phase == offered) {
-		r.remove(h.Flow, s)
+		r.remove(now, h.Flow, s)
 	}
 	f := &peer.Frame{
 		Kind:       c.kind,
 		Uncertain:  c.uncertain,
 		Forced:     c.forced,
-		Late:       c.late,
 		Best:       c.best,
 		BestLoad:   c.bestLoad,
 		Stage:      c.stage,
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"hickoryhook.example/pkg/admission"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 )
@@ -12,25 +14,39 @@
 	// loadScale converts requests per slot to the unit of a load in a frame:
 	// eighths of a request per slot.
 	loadScale = 8
-	// maxRunningPerSlot is how many running requests per slot the least busy
-	// candidate may have and still be forced to accept an opening. A wait of
-	// two requests is within the target latency; a wait of four is not, and the
-	// answer would reach the caller too late.
-	maxRunningPerSlot = 2
+	// ejectedLoad is the load in a frame of an upstream that has a free slot but is
+	// ejected or on trial: it comes after upstreams with fewer than two requests per
+	// slot.
+	ejectedLoad = 2 * loadScale
+)
+
+const (
+	forwardOpening verdict = iota
+	offerOpening
+	delayOpening
+)
+
+type (
+	// verdict is what a relay does with an opening.
+	verdict uint8
+
+	// waitingOpening is an opening that waits for the upstream.
+	waitingOpening struct {
+		frame  peer.Frame
+		header segment.Header
+	}
 )
 
 // handleOpening handles an opening packet: it offers the flow to the upstream, lets the
-// opening wait for a slot, or forwards the frame to the next candidate.
+// opening wait for it, or forwards the frame to the next candidate.
 func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Header) {
-	s := r.flows[h.Flow]
-	if s != nil && s.phase != closed {
+	if s := r.flows[h.Flow]; s != nil && s.phase != closed {
 		r.deliver(now, f, h, s) // a retransmission: the upstream answers it again
 		return
 	}
-	if r.waiting.has(h.Flow) {
+	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow }) {
 		return // a retransmission
 	}
-	r.expireExpected(now)
 	switch r.admit(now, f) {
 	case offerOpening:
 		r.offer(now, f, h)
@@ -41,92 +57,74 @@
 	}
 }
 
-// offer offers the flow to the upstream.
-func (r *Relay) offer(now time.Duration, f *peer.Frame, h segment.Header) {
-	s := &flowState{entry: f.Entry, waitingSince: now}
-	r.flows[h.Flow] = s
-	r.setExpectsRequest(s, true)
-	r.expecting = append(r.expecting, s)
-	r.port.RecordDecision(Offered, h.Flow, f)
-	r.deliver(now, f, h, s)
-}
-
-type admission uint8
-
-const (
-	passOpening admission = iota
-	offerOpening
-	delayOpening
-)
-
-// busy is the number of requests that the upstream serves or will get at once.
-func (r *Relay) busy() int { return r.runningRequests + r.expected }
-
-// admit decides about the opening in the frame.
-func (r *Relay) admit(now time.Duration, f *peer.Frame) admission {
+// admit decides about the opening in the frame. It is not offered if the upstream is of
+// another service, does not run or is draining. Until the opening is forced, it needs a
+// free slot of an upstream that is neither ejected nor, unless a flow is due, on trial.
+// Without one, admit records the load in the frame if it is the lowest so far, for
+// forward to choose the least busy candidate at the end of the list. A forced opening is
+// offered regardless of ejection if the upstream has room, and else may wait for it if
+// the frame allows that.
+func (r *Relay) admit(now time.Duration, f *peer.Frame) verdict {
 	if f.Service != r.service || !r.alive || r.upstream.Draining {
-		return passOpening
+		return forwardOpening
 	}
-	slots := max(1, r.upstream.Slots)
-	load := loadScale * (r.busy() + r.waiting.len()) / slots
 	if f.Forced {
-		if load <= loadScale*maxRunningPerSlot {
+		switch {
+		case r.load.HasRoom(now):
 			return offerOpening
-		}
-		if f.Patience > 0 {
+		case f.Patience > 0:
 			return delayOpening
 		}
-		return passOpening
+		return forwardOpening
 	}
-	if r.busy() < slots {
+	load := loadScale * (r.load.Busy(now) + r.waiting.Len()) / r.load.Slots()
+	if r.load.HasFreeSlot(now) {
 		if r.detector.allowFlow(now) {
 			return offerOpening
 		}
-		load = loadScale * maxRunningPerSlot
+		load = ejectedLoad
 	}
 	if encoded := uint8(min(load, math.MaxUint8)); f.Best == 0 || encoded < f.BestLoad {
 		f.Best, f.BestLoad = f.Hop+1, encoded
 	}
-	return passOpening
+	return forwardOpening
 }
 
-// delay lets the opening wait.
+// offer offers the flow to the upstream.
+func (r *Relay) offer(now time.Duration, f *peer.Frame, h segment.Header) {
+	s := &flowState{entry: f.Entry, waitingSince: now, opening: r.load.Open(now)}
+	r.flows[h.Flow] = s
+	r.port.RecordDecision(Offered, h.Flow, f)
+	r.deliver(now, f, h, s)
+}
+
+// delay lets the opening wait for the upstream, and informs the entry, which sends
+// retransmissions of the opening here. If too many wait, the frame is forwarded.
 func (r *Relay) delay(now time.Duration, f *peer.Frame, h segment.Header) {
-	r.waiting.add(now, f, h)
+	w := &waitingOpening{frame: *f, header: h}
+	w.frame.Packet, w.frame.Candidates = slices.Clone(f.Packet), slices.Clone(f.Candidates)
+	if !r.waiting.Add(w, admission.Terms{Priority: f.Priority, Until: now + f.Patience}) {
+		r.forward(f, h)
+		return
+	}
 	r.port.RecordDecision(Delayed, h.Flow, f)
 	r.buf = peer.OwnerMessage{Kind: peer.Owned, Flow: h.Flow, Waiting: true}.Append(r.buf[:0])
 	r.port.ToProcess(f.Entry, r.buf)
 }
 
-// serveWaiting offers waiting openings while the upstream has room, and refuses those
-// that have waited too long.
+// serveWaiting offers waiting openings while the upstream has room for them. It returns
+// those that have waited for their patience to the entries, and all of them if the
+// upstream accepts no flows any more.
 func (r *Relay) serveWaiting(now time.Duration) {
-	r.expireExpected(now)
-	for _, w := range r.waiting.expired(now, !r.alive || r.upstream.Draining) {
-		w.frame.Forced = true
+	expired := r.waiting.Expired(now)
+	if !r.alive || r.upstream.Draining {
+		expired = append(expired, r.waiting.Clear()...)
+	}
+	for _, w := range expired {
 		r.forward(&w.frame, w.header)
 	}
-	for r.waiting.len() > 0 && r.busy() <= max(1, r.upstream.Slots)+2 {
-		w := r.waiting.next()
+	for r.waiting.Len() > 0 && r.load.HasRoom(now) {
+		w, _ := r.waiting.Next()
 		r.offer(now, &w.frame, w.header)
 	}
 }
-
-func (r *Relay) expireExpected(now time.Duration) {
-	for len(r.expecting) > 0 && now-r.expecting[0].waitingSince > expectTimeout {
-		r.setExpectsRequest(r.expecting[0], false)
-		r.expecting = r.expecting[1:]
-	}
-}
-
-func (r *Relay) setExpectsRequest(s *flowState, expects bool) {
-	if s.expectsRequest == expects {
-		return
-	}
-	s.expectsRequest = expects
-	if expects {
-		r.expected++
-		return
-	}
-	r.expected--
-}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"hickoryhook.example/pkg/admission"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 )
@@ -42,8 +43,9 @@
 	// runningTimeout is how long a request without an answer counts as running.
 	// It exceeds the longest deadline of a caller, 6 s.
 	runningTimeout = 10 * time.Second
-	// expectTimeout is how long an opened flow is expected to bring a request.
-	expectTimeout = 15 * time.Millisecond
+	// maxWaiting bounds the openings that wait for the upstream. With their packets
+	// they take 200 bytes each.
+	maxWaiting = 256
 	// activeWindow is how long after a caller's last packet its flow counts as
 	// load. Callers pause for 1 to 3 s between requests; a flow that its caller
 	// has abandoned stays open at the upstream for longer.
@@ -127,13 +129,11 @@
 		alive           bool // the upstream runs, or is assumed to, and has not deregistered
 		ended           bool // the upstream's process has ended, and with it all its flows
 		deregisteredAt  time.Duration
-		deregistered    bool // since the last heartbeat
-		openFlows       int  // flows in phase accepted
-		activeFlows     int  // at the last Tick: open flows with a caller's packet within activeWindow
-		runningRequests int  // flows in which running is set
-		expected        int  // flows in which expectsRequest is set
-		waiting         waitingQueue
-		expecting       []*flowState
+		deregistered    bool           // since the last heartbeat
+		openFlows       int            // flows in phase accepted
+		activeFlows     int            // at the last Tick: open flows with a caller's packet within activeWindow
+		load            admission.Load // of the upstream
+		waiting         *admission.Queue[*waitingOpening]
 		detector        outlierDetector
 		lifetime        time.Duration // idle time after which an accepted flow is removed
 	}
@@ -145,26 +145,25 @@
 
 	// flowState is the relay's cached state of a flow at its upstream.
 	flowState struct {
-		phase          phase
-		firstKnown     bool          // firstSequence is set
-		firstSequence  uint32        // the upstream's first sequence number
-		acknowledged   uint32        // the caller's last acknowledgement number or expected first, 0 if none
-		expectsRequest bool          // opened, and its first request has not arrived
-		running        bool          // a request has had no answer for at most runningTimeout
-		callerDone     bool          // the caller has sent Fin
-		upstreamDone   bool          // the upstream has sent Fin
-		entry          peer.Addr     // of the caller's last packet, zero if unknown
-		upstreamSeen   time.Duration // when the upstream's last packet came
-		lastSeen       time.Duration // when the last packet of either end came
-		callerSeen     time.Duration // when the caller's last packet came
-		waitingSince   time.Duration // when the unanswered request, or packet that added the flow, came
+		phase         phase
+		firstKnown    bool               // firstSequence is set
+		firstSequence uint32             // the upstream's first sequence number
+		acknowledged  uint32             // the caller's last acknowledgement number or expected first, 0 if none
+		opening       *admission.Opening // nil if the relay has not offered the flow
+		running       bool               // a request has had no answer for at most runningTimeout
+		callerDone    bool               // the caller has sent Fin
+		upstreamDone  bool               // the upstream has sent Fin
+		entry         peer.Addr          // of the caller's last packet, zero if unknown
+		upstreamSeen  time.Duration      // when the upstream's last packet came
+		lastSeen      time.Duration      // when the last packet of either end came
+		callerSeen    time.Duration      // when the caller's last packet came
+		waitingSince  time.Duration      // when the unanswered request, or packet that added the flow, came
 	}
 
 	// deliveryContext holds the fields of a frame whose packet was delivered to
 	// the upstream, to restore the frame if the upstream bounces the packet.
 	deliveryContext struct {
 		forced     bool
-		late       bool
 		best       int
 		bestLoad   uint8
 		tag        uint32
@@ -234,6 +233,7 @@
 		codec:    codec,
 		port:     port,
 		flows:    make(map[segment.Flow]*flowState),
+		waiting:  admission.NewQueue[*waitingOpening](maxWaiting),
 		lifetime: time.Minute,
 	}
 	for _, o := range options {
@@ -319,7 +319,7 @@
 	r.lastTag++
 	c := &r.contexts[r.lastTag%contextCount]
 	c.tag, c.kind, c.uncertain = r.lastTag, f.Kind, f.Uncertain
-	c.late, c.forced, c.best, c.bestLoad = f.Late, f.Forced, f.Best, f.BestLoad
+	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.patience = f.Patience
 	c.candidates = append(c.candidates[:0], f.Candidates...)
@@ -327,16 +327,16 @@
 	r.port.ToUpstream(f.Packet)
 }
 
-// forward sends a frame to the next agent on its list. At the end of the list it
-// forces an opening on the least busy candidate, if that one has at most
-// maxRunningPerSlot requests per slot. Otherwise, and if a forced opening has not
-// been accepted, it returns the frame to the entry.
+// forward sends a frame to the next agent on its list. At the end of the list, an
+// opening is sent to the least busy candidate once more, as a forced one. A forced
+// opening that has not been accepted, and any other frame at the end of its list, is
+// returned to the entry.
 func (r *Relay) forward(f *peer.Frame, h segment.Header) {
 	f.Hop++
 	switch {
 	case f.Forced:
 		f.Hop = len(f.Candidates)
-	case f.Hop >= len(f.Candidates) && f.Best > 0 && f.BestLoad <= loadScale*maxRunningPerSlot:
+	case f.Hop >= len(f.Candidates) && f.Best > 0:
 		f.Hop, f.Forced = f.Best-1, true
 	}
 	if f.Hop < len(f.Candidates) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -157,9 +157,9 @@
 	case "deregister":
 		r.relay.HandleDeregistration(r.now, words[1])
 	case "ended":
-		r.relay.MarkEnded()
+		r.relay.MarkEnded(r.now)
 	case "assume-ready":
-		r.relay.AssumeReady(2)
+		r.relay.AssumeReady(r.now, 2)
 	case "wait":
 		r.now += time.Duration(number(words, 1)) * time.Millisecond
 	case "tick":
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -25,18 +25,15 @@
 	if h.Has(segment.Ack) {
 		s.acknowledged = h.Acknowledged
 	}
-	if h.Length > 0 {
-		r.setExpectsRequest(s, false)
-	}
 	if h.Length > 0 && s.phase == accepted && !s.running {
-		s.waitingSince = now
-		r.setRunning(s, true)
+		s.waitingSince, s.running = now, true
+		r.load.Begin(now, s.opening)
 	}
 	if h.Has(segment.Fin) {
 		s.callerDone = true
 	}
 	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
-		r.close(s)
+		r.close(now, s)
 	}
 }
 
@@ -69,13 +66,13 @@
 	if h.Length > 0 && s.running {
 		r.port.RecordLatency(Answering, now-s.waitingSince)
 		r.detector.recordSuccess(now)
-		r.setRunning(s, false)
+		r.endRequest(now, s, true)
 	}
 	if h.Has(segment.Fin) {
 		s.upstreamDone = true
 	}
 	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
-		r.close(s)
+		r.close(now, s)
 	}
 }
 
@@ -89,33 +86,28 @@
 	r.port.ToProcess(entry, r.buf)
 }
 
-// setRunning sets whether the flow has a request without an answer, and keeps
-// runningRequests in step.
-func (r *Relay) setRunning(s *flowState, running bool) {
-	if s.running == running {
-		return
-	}
-	s.running = running
-	if running {
-		r.runningRequests++
-		return
+// endRequest ends the flow's request without an answer, if there is one: it was
+// answered, or its answer is no longer expected.
+func (r *Relay) endRequest(now time.Duration, s *flowState, answered bool) {
+	if s.running {
+		s.running = false
+		r.load.End(now, answered)
 	}
-	r.runningRequests--
 }
 
 // close marks the flow as closed. Its state stays in the table until Tick
 // removes it.
-func (r *Relay) close(s *flowState) {
+func (r *Relay) close(now time.Duration, s *flowState) {
 	if s.phase == accepted {
 		r.openFlows--
 	}
-	r.setRunning(s, false)
-	r.setExpectsRequest(s, false)
+	r.endRequest(now, s, false)
+	r.load.Cancel(s.opening)
 	s.phase = closed
 }
 
 // remove closes the flow and deletes it from the table.
-func (r *Relay) remove(flow segment.Flow, s *flowState) {
-	r.close(s)
+func (r *Relay) remove(now time.Duration, flow segment.Flow, s *flowState) {
+	r.close(now, s)
 	delete(r.flows, flow)
 }
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -30,11 +30,12 @@
 	}
 	r.lastHeartbeatAt = now
 	if !same && r.startID != 0 {
-		r.resetFlowsBefore(now - u.Age)
+		r.resetFlowsBefore(now, now-u.Age)
 		r.detector.recordRestart(now)
 	}
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.startID = u, startID
+	r.load.SetSlots(now, u.Slots)
 	r.alive, r.ended, r.deregistered = true, false, false
 	r.coldUntil = now + u.ColdFor
 	if !same {
@@ -60,23 +61,24 @@
 // MarkEnded records that the upstream's process has ended, and resets its flows. It
 // is to be called only if it is proven that no process listens at the upstream's
 // address. It reports whether the end was not yet known.
-func (r *Relay) MarkEnded() bool {
+func (r *Relay) MarkEnded(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := !r.ended
 	r.alive, r.ended = false, true
-	r.resetAll()
+	r.resetAll(now)
 	return changed
 }
 
 // AssumeReady treats the upstream as ready with the given number of slots until
 // its first heartbeat. It does nothing after a heartbeat or a deregistration.
-func (r *Relay) AssumeReady(slots int) {
+func (r *Relay) AssumeReady(now time.Duration, slots int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.startID == 0 && !r.deregistered {
 		r.alive = true
 		r.upstream.Slots = slots
+		r.load.SetSlots(now, slots)
 	}
 }
 
@@ -90,7 +92,7 @@
 	defer r.mu.Unlock()
 	if r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace {
 		r.ended = true
-		r.resetAll()
+		r.resetAll(now)
 	}
 	r.activeFlows = 0
 	for flow, s := range r.flows {
@@ -98,14 +100,11 @@
 			r.activeFlows++
 		}
 		if s.running && now-s.waitingSince > runningTimeout {
-			r.setRunning(s, false)
-		}
-		if s.expectsRequest && now-s.waitingSince > expectTimeout {
-			r.setExpectsRequest(s, false)
+			r.endRequest(now, s, false)
 		}
 		idle := now - s.lastSeen
 		if idle > r.lifetime || idle > closedRetention && s.phase != accepted {
-			r.remove(flow, s)
+			r.remove(now, flow, s)
 		}
 	}
 	r.serveWaiting(now)
@@ -113,11 +112,11 @@
 
 // Stop resets the flows of the upstream if it has deregistered. It is to be called
 // before the agent itself stops.
-func (r *Relay) Stop() {
+func (r *Relay) Stop(now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deregistered {
-		r.resetAll()
+		r.resetAll(now)
 	}
 }
 
@@ -143,12 +142,12 @@
 		Slots:    r.upstream.Slots,
 		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
 		Flows:    r.activeFlows,
-		Running:  r.runningRequests,
+		Running:  r.load.Running(),
 	}
 }
 
 // resetAll resets all flows, as the upstream's process has ended.
-func (r *Relay) resetAll() { r.resetFlowsBefore(math.MaxInt64) }
+func (r *Relay) resetAll(now time.Duration) { r.resetFlowsBefore(now, math.MaxInt64) }
 
 // announceAll announces all open flows, with the upstream's start id, to their
 // entries. A new start may have accepted flows before its first heartbeat, which
@@ -164,7 +163,7 @@
 // resetFlowsBefore removes the flows of the upstream's last start: those of which
 // the upstream has sent no packet after started, when its new start began. For the
 // open ones it sends a reset to the caller.
-func (r *Relay) resetFlowsBefore(started time.Duration) {
+func (r *Relay) resetFlowsBefore(now, started time.Duration) {
 	// The sorted order makes simulated runs repeatable.
 	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
 		s := r.flows[flow]
@@ -175,7 +174,7 @@
 			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
 			r.port.RecordDecision(ResetUpstreamEnded, flow, nil)
 		}
-		r.remove(flow, s)
+		r.remove(now, flow, s)
 	}
 }
 
