--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -210,6 +210,9 @@
 		return
 	}
 	u.failing = true
+	if i.world.heldAtFailure == 0 {
+		i.world.heldAtFailure = len(u.flows)
+	}
 	i.world.After(d, func() { u.failing = false })
 }
 
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -87,35 +87,6 @@
 	}
 }
 
-// handleReturnedOpening handles an opening that none of its candidates accepted: it is
-// offered to those of the next stage. After the last stage the flow is reset. A copy of
-// the opening that is returned after an agent has accepted another one is dropped.
-func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
-	rec := s.flows[h.Flow]
-	if rec == nil {
-		rec = &flowRecord{}
-	}
-	if rec.open {
-		return
-	}
-	rec.noteLeastBusy(f)
-	r, _ := d.config.Load().Lookup(h.Flow.VIP())
-	for stage := f.Stage + 1; stage <= lastOpeningStage; stage++ {
-		next := d.openingStage(now, stage, rec, r, f, h)
-		if len(next.Candidates) == 0 {
-			continue
-		}
-		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
-		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
-		s.flows[h.Flow] = rec
-		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: next.Candidates[0], Tried: len(f.Candidates)})
-		d.send(s, next.Candidates[0], &next)
-		return
-	}
-	delete(s.flows, h.Flow)
-	d.reset(NotAccepted, h, len(f.Candidates))
-}
-
 // handleReturnedDelivery handles a packet that an agent returned because it does not
 // hold the flow, although it was recorded as the owner. It sends the packet to another
 // owner that has been recorded in the meantime. If there is none, it places an opening
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -167,23 +167,21 @@
 
 	// flowRecord is the cached state of a flow.
 	flowRecord struct {
-		owner            peer.Addr      // first candidate until open; zero while searching
-		service          peer.ServiceID // of the owner, 0 if unknown
-		startID          uint32         // of the owner's upstream, 0 if unknown
-		open             bool           // the owner has reported that its upstream holds the flow
-		closed           bool           // the caller has sent Fin or Reset
-		searching        bool
-		inconclusive     bool          // the search ended without proof that there is no owner
-		stages           []searchStage // stages of the search
-		packet           []byte        // the last packet of the caller during the search
-		round            uint8         // number of the flow's current search
-		searchedAt       time.Duration // when the search was started or repeated
-		acknowledged     uint32        // last acknowledgement number of the caller, 0 if none
-		lastSeen         time.Duration // time of the last packet or Owned message
-		leastBusy        peer.Addr
-		leastBusyLoad    uint8
-		leastBusyService peer.ServiceID
-		created          time.Duration // when the flow was last placed, else when the record was added
+		owner        peer.Addr      // first candidate until open; zero while searching
+		service      peer.ServiceID // of the owner, 0 if unknown
+		startID      uint32         // of the owner's upstream, 0 if unknown
+		open         bool           // the owner has reported that its upstream holds the flow
+		closed       bool           // the caller has sent Fin or Reset
+		searching    bool
+		inconclusive bool          // the search ended without proof that there is no owner
+		stages       []searchStage // stages of the search
+		packet       []byte        // the last packet of the caller during the search
+		round        uint8         // number of the flow's current search
+		searchedAt   time.Duration // when the search was started or repeated
+		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
+		lastSeen     time.Duration // time of the last packet or Owned message
+		waitingPlace waitingPlace  // of an opening that was returned
+		created      time.Duration // when the flow was last placed, else when the record was added
 	}
 
 	// Option configures a Director.
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -8,9 +8,28 @@
 	"hickoryhook.example/pkg/segment"
 )
 
+// The stages in which a flow is offered, one after the other until an agent accepts it.
+// A stage without candidates is left out. They are the values of peer.Frame.Stage.
 const (
-	patienceShare   = 0.25
-	defaultPatience = 200 * time.Millisecond
+	// chosenStage offers the flow to the agents that openingCandidates has chosen.
+	chosenStage = iota
+	// untriedStage offers it to the other agents of the service.
+	untriedStage
+	// overflowStage offers it to agents of another service of the route: rather than
+	// wait for the service that its weights select, a flow goes where slots are free.
+	overflowStage
+	// waitingStage lets the opening wait at the least busy agent of the first stages.
+	waitingStage
+	endOfStages
+)
+
+const (
+	// patienceShare is the part of its route's timeout for which an opening may wait
+	// for an upstream. Callers make up to three attempts, and one that waited in vain
+	// leaves time for the others and for the answer.
+	patienceShare = 0.25
+	// defaultTimeout is assumed for a route without a timeout.
+	defaultTimeout = time.Second
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
@@ -41,55 +60,87 @@
 	}
 	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
-	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Packet: packet})
+	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Stage: chosenStage, Packet: packet})
 }
 
-// The stages in which an opening is offered, one after the other.
-const (
-	chosenStage      = iota // the choices of the flow's service
-	untriedStage            // the other agents of the service
-	overflowStage           // the choices of another service of the route
-	waitingStage            // the least busy agent of the flow's service, where the opening may wait
-	lastOpeningStage = waitingStage
-)
+// handleReturnedOpening handles an opening that none of its candidates accepted: it is
+// offered in the next stage that has candidates. After the last one the flow is reset. A
+// copy of the opening that is returned after an agent has accepted another one is
+// dropped.
+func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
+	rec := s.flows[h.Flow]
+	if rec == nil {
+		rec = &flowRecord{}
+	}
+	if rec.open {
+		return
+	}
+	rec.waitingPlace.consider(f)
+	for stage := f.Stage + 1; stage < endOfStages; stage++ {
+		next := d.openingStage(now, stage, rec, f, h)
+		if len(next.Candidates) == 0 {
+			continue
+		}
+		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
+		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
+		s.flows[h.Flow] = rec
+		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: rec.owner, Tried: len(f.Candidates)})
+		d.send(s, rec.owner, &next)
+		return
+	}
+	delete(s.flows, h.Flow)
+	d.reset(NotAccepted, h, len(f.Candidates))
+}
 
-// openingStage returns the frame with the candidates of a stage, none if it is to be
-// left out.
-func (d *Director) openingStage(now time.Duration, stage int, rec *flowRecord, r route.Route, f *peer.Frame, h segment.Header) peer.Frame {
-	switch stage {
-	case untriedStage:
+// openingStage returns a frame with the service, the candidates and the conditions of a
+// stage after the first one. f is the frame of the last stage.
+func (d *Director) openingStage(now time.Duration, stage int, rec *flowRecord, f *peer.Frame, h segment.Header) peer.Frame {
+	r, routed := d.config.Load().Lookup(h.Flow.VIP())
+	switch {
+	case stage == untriedStage:
 		return peer.Frame{Service: f.Service, Candidates: d.members.untried(now, f.Service, f.Candidates)}
-	case overflowStage:
-		name, ok := r.PickOther(h.Flow.Hash(), func(name string) bool { return peer.Service(name) == f.Service })
+	case stage == overflowStage && routed:
+		other, ok := r.PickExcept(h.Flow.Hash(), func(name string) bool { return peer.Service(name) == f.Service })
 		if !ok {
 			return peer.Frame{}
 		}
-		service := peer.Service(name)
-		list, _, _ := d.members.openingCandidates(now, service, h.Flow.Hash())
-		return peer.Frame{Service: service, Candidates: list}
-	case waitingStage:
-		if rec.leastBusy == (peer.Addr{}) {
-			return peer.Frame{}
+		list, _, _ := d.members.openingCandidates(now, peer.Service(other), h.Flow.Hash())
+		return peer.Frame{Service: peer.Service(other), Candidates: list}
+	case stage == waitingStage && routed && rec.waitingPlace.known():
+		return peer.Frame{
+			Service: rec.waitingPlace.service, Candidates: []peer.Addr{rec.waitingPlace.agent},
+			Forced: true, Patience: patience(r), Priority: r.Priority,
 		}
-		return peer.Frame{Service: rec.leastBusyService, Candidates: []peer.Addr{rec.leastBusy}, Forced: true, Patience: patience(r), Priority: r.Priority}
 	}
 	return peer.Frame{}
 }
 
-// noteLeastBusy records the least busy agent that has returned the opening.
-func (rec *flowRecord) noteLeastBusy(f *peer.Frame) {
-	if f.Best == 0 || f.Stage > untriedStage || rec.leastBusy != (peer.Addr{}) && rec.leastBusyLoad <= f.BestLoad {
+// waitingPlace is the least busy agent that has returned an opening, where it may wait.
+type waitingPlace struct {
+	agent   peer.Addr
+	service peer.ServiceID
+	load    uint8 // see peer.Frame.BestLoad
+}
+
+// known reports whether there is such an agent.
+func (w *waitingPlace) known() bool { return w.agent != peer.Addr{} }
+
+// consider takes over the least busy candidate of a returned frame if it is less busy
+// than those before. Agents of the overflow stage are left out.
+func (w *waitingPlace) consider(f *peer.Frame) {
+	if f.Best == 0 || f.Stage > untriedStage || w.known() && w.load <= f.BestLoad {
 		return
 	}
-	rec.leastBusy, rec.leastBusyLoad, rec.leastBusyService = f.Candidates[f.Best-1], f.BestLoad, f.Service
+	w.agent, w.service, w.load = f.Candidates[f.Best-1], f.Service, f.BestLoad
 }
 
-// patience returns how long an opening of the route may wait for a slot.
+// patience returns how long an opening of the route may wait for an upstream.
 func patience(r route.Route) time.Duration {
-	if r.Timeout == 0 {
-		return defaultPatience
+	timeout := r.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
 	}
-	return time.Duration(float64(r.Timeout) * patienceShare)
+	return time.Duration(float64(timeout) * patienceShare)
 }
 
 // refuseOpening resets an opening for which there is no agent, if it is certain
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	repeatWindow      = 2 * time.Second
-	searchRepeatAfter = 200 * time.Millisecond
+	// repeatInterval is the time after which an entry repeats a search without a
+	// result on its own: longer than searchRetryAfter, so that a caller's packet that
+	// comes in time repeats it first.
+	repeatInterval = 200 * time.Millisecond
+	// repeatWindow is the time since the caller's last packet in which it does so. It
+	// exceeds settleTime and allows for up to four repetitions.
+	repeatWindow = 800 * time.Millisecond
 )
 
 // startSearch discards the recorded owner and starts a search through the agents
@@ -74,22 +79,24 @@
 	return d.members.searchStages(now, d.holderServices(f), d.history.complete(), f.Hash())
 }
 
-// repeatSearches repeats the searches of the shard that have not found an owner, with the
-// caller's last packet: the caller's own retransmissions come ever later, and its request
-// may have been lost with its upstream.
+// repeatSearches repeats the searches of a shard that have not found an owner, with the
+// caller's last packet. If the upstream has lost the flow, the caller waits for its reset,
+// and its retransmissions come ever later. The director must be settled: before, a search
+// cannot show that there is no owner.
 func (d *Director) repeatSearches(now time.Duration, s *shard) {
+	// Sorted, so that simulated runs are reproducible.
 	for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
 		rec := s.flows[flow]
-		if !rec.searching || rec.packet == nil || now-rec.lastSeen > repeatWindow || now-rec.searchedAt < searchRepeatAfter {
+		if !rec.searching || now-rec.lastSeen > repeatWindow || now-rec.searchedAt < repeatInterval {
 			continue
 		}
 		h, err := d.codec.FromCaller(rec.packet)
 		if err != nil {
-			continue
+			continue // unreachable: the packet was decoded when it arrived
 		}
-		seen := rec.lastSeen
-		d.startSearch(now, s, rec, h, slices.Clone(rec.packet))
-		rec.lastSeen = seen
+		lastSeen := rec.lastSeen
+		d.startSearch(now, s, rec, h, rec.packet)
+		rec.lastSeen = lastSeen // which counts the caller's packets only
 	}
 }
 
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -56,6 +56,14 @@
 		panic(err)
 	}
 	if kind == peer.Owned {
+		var o peer.OwnerMessage
+		if err := o.Decode(datagram); err != nil {
+			panic(err)
+		}
+		if o.Waiting {
+			r.out = append(r.out, fmt.Sprintf("waiting %d %s", o.Flow.Caller().Port(), to))
+			return
+		}
 		r.out = append(r.out, "owned "+to.String())
 		return
 	}
@@ -94,7 +102,8 @@
 //
 //	heartbeat ID SEQUENCE [draining] [born N] [age MILLISECONDS]   from the upstream
 //	deregister ID | ended | tick SECONDS | wait MILLISECONDS | assume-ready
-//	place N [best I LOAD] [forced] [service NAME] [last]   an opening of caller N
+//	place N [best I LOAD] [forced] [patience MILLISECONDS] [priority P] [service NAME] [last]
+//	                                 an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME] [last]   a packet of caller N
 //	accept N SEQ | answer N BYTES | reset N                the upstream's packets
 //	owner-query N ACK                an entry asks which agent's upstream holds the
@@ -209,6 +218,12 @@
 			i += 2
 		case "forced":
 			f.Forced = true
+		case "patience":
+			f.Patience = time.Duration(number(words, i+1)) * time.Millisecond
+			i++
+		case "priority":
+			f.Priority = uint8(number(words, i+1))
+			i++
 		case "last":
 			f.Candidates = []peer.Addr{{10, 0, 0, 2}, {10, 0, 0, 1}}
 			f.Hop = 1
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// PickOther is Pick without the services for which excluded returns true.
-func (r Route) PickOther(hash uint64, excluded func(service string) bool) (string, bool) {
+// PickExcept is Pick without the services for which excluded returns true.
+func (r Route) PickExcept(hash uint64, excluded func(service string) bool) (string, bool) {
 	r.Shares = slices.DeleteFunc(slices.Clone(r.Shares), func(s Share) bool { return excluded(s.Service) })
 	return r.Pick(hash)
 }
