--- a/internal/fleetsim/caller.go
+++ b/internal/fleetsim/caller.go
@@ -10,9 +10,10 @@
 const (
 	requestBytes      = 50                      // payload size of a request
 	basePort          = 1024                    // callers use the ports above it
-	openTimeout       = 1400 * time.Millisecond // not used: requestTimeout covers the opening, too
+	openTimeout       = 1400 * time.Millisecond // without an answer to any copy of the opening, see Kind
 	retransmitTimeout = 200 * time.Millisecond
 	requestTimeout    = time.Second      // of a request, including openings of flows and retries
+	maxRetries        = 2                // of a request, each on a new flow
 	idle              = callerState(0)   // without a flow
 	opening           = callerState(1)   // the opening packet has been sent
 	waiting           = callerState(2)   // for the response to a request
@@ -29,7 +30,6 @@
 		world         *World
 		vip           netip.AddrPort
 		address       netip.Addr
-		interval      time.Duration
 		port          uint16 // of the current flow
 		flow          segment.Flow
 		state         callerState
@@ -39,21 +39,28 @@
 		requestedAt   time.Duration // start of the request, since the start of the simulation
 		retries       int           // of the request on new flows
 		idempotent    bool          // a request that may have run is retried
+		kind          *Kind         // nil unless the caller is one of AddLoad
+		request       *Request      // the current one of a caller of AddLoad
 	}
 )
 
 func (w *World) addCaller(vip netip.AddrPort, interval time.Duration, idempotent bool) {
-	n := uint32(callerNetwork + len(w.callers) + 1)
-	c := &caller{world: w, vip: vip, interval: interval, port: basePort, idempotent: idempotent,
-		address: netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})}
-	w.callers = append(w.callers, c)
+	c := w.newCaller(vip, idempotent)
 	first := time.Duration(w.random.Int64N(int64(interval)))
-	w.Every(first, interval, func() bool { c.startRequest(); return true })
+	w.Every(first, interval, func() bool { c.startRequest(requestTimeout); return true })
+}
+
+// newCaller returns a caller with an address of its own.
+func (w *World) newCaller(vip netip.AddrPort, idempotent bool) *caller {
+	w.callers++
+	n := uint32(callerNetwork + w.callers)
+	return &caller{world: w, vip: vip, port: basePort, idempotent: idempotent,
+		address: netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})}
 }
 
 // startRequest begins a request on the open flow or on a new one. The request
-// is lost if it has not been answered within requestTimeout.
-func (c *caller) startRequest() {
+// is lost if it has not been answered within the timeout.
+func (c *caller) startRequest(timeout time.Duration) {
 	w := c.world
 	if c.state == opening || c.state == waiting {
 		return // the last request has not ended yet
@@ -63,10 +70,10 @@
 	c.sendOrOpen()
 	c.requestNumber++
 	number := c.requestNumber
-	w.After(requestTimeout, func() {
+	w.After(timeout, func() {
 		if c.requestNumber == number && (c.state == opening || c.state == waiting) {
 			w.tracef("caller %s request timed out in state %d", c.flow, c.state)
-			w.count("lost")
+			c.endRequest(Failed)
 			c.state = idle
 		}
 	})
@@ -80,8 +87,10 @@
 		c.sendRequest(0)
 		return
 	}
+	delete(c.world.callersByFlow, c.flow)
 	c.port++
 	c.flow = segment.NewFlow(netip.AddrPortFrom(c.address, c.port), c.vip)
+	c.world.callersByFlow[c.flow] = c
 	c.seq = c.world.random.Uint32()
 	c.state = opening
 	c.sendOpening(0)
@@ -100,6 +109,13 @@
 			}
 		})
 	}
+	if copies == 0 && c.kind != nil {
+		c.world.After(openTimeout, func() {
+			if c.flow == flow && c.state == opening {
+				c.retryOrEnd(Failed)
+			}
+		})
+	}
 }
 
 // sendRequest sends the request, and copies with capped exponential backoff until
@@ -118,11 +134,8 @@
 func (w *World) sendToCaller(flow segment.Flow, b []byte) {
 	copied := append([]byte(nil), b...)
 	w.After(callerDelay, func() {
-		for _, c := range w.callers {
-			if c.flow == flow {
-				c.receive(copied)
-				return
-			}
+		if c := w.callersByFlow[flow]; c != nil {
+			c.receive(copied)
 		}
 	})
 }
@@ -165,20 +178,23 @@
 		c.state = open
 		if h.Length == shedBytes {
 			w.count("refused")
+			if c.kind != nil {
+				c.retryOrEnd(Refused)
+			}
 			return
 		}
 		w.count("served")
 		if w.now()-c.requestedAt > retransmitTimeout {
 			w.count("late")
 		}
-		if h.Has(segment.Fin) {
+		c.endRequest(Answered)
+		if h.Has(segment.Fin) || c.kind != nil && c.kind.FlowEach {
 			c.state = idle
 		}
 	}
 }
 
-// reset ends the flow. A pending request is retried on a new flow, at most
-// twice; a third reset ends it without counting it as lost. One that has been sent
+// reset ends the flow. A pending request is retried on a new flow. One that has been sent
 // is retried only if it is idempotent, and is lost otherwise.
 func (c *caller) reset() {
 	w := c.world
@@ -191,10 +207,34 @@
 	c.state = idle
 	switch {
 	case previous == waiting && !c.idempotent:
-		w.count("lost")
-	case (previous == opening || previous == waiting) && c.retries < 2:
+		c.endRequest(Failed)
+	case previous == opening || previous == waiting:
+		c.retryOrEnd(Failed)
+	}
+}
+
+// retryOrEnd sends the request again on a new flow. After maxRetries the request ends
+// with the outcome, which is counted for the callers of AddLoad only.
+func (c *caller) retryOrEnd(o Outcome) {
+	c.state = idle
+	if c.retries < maxRetries {
 		c.retries++
 		c.sendOrOpen()
+		return
+	}
+	if c.kind != nil {
+		c.endRequest(o)
+	}
+}
+
+// endRequest counts the end of a request.
+func (c *caller) endRequest(o Outcome) {
+	if o == Failed {
+		c.world.count("lost")
+	}
+	if c.request != nil {
+		c.request.Outcome, c.request.Latency = o, c.world.now()-c.request.At
+		c.request = nil
 	}
 }
 
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -56,7 +56,9 @@
 	})
 	w.Every(snapshotInterval, snapshotInterval, func() bool {
 		if running() && !e.paused {
-			w.snapshots[e.address] = e.director.SnapshotFlows(w.now(), maxSnapshotFlows)
+			if !w.without[MechanismSnapshots] {
+				w.snapshots[e.address] = e.director.SnapshotFlows(w.now(), maxSnapshotFlows)
+			}
 		}
 		return running()
 	})
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -25,6 +25,7 @@
 	agentStarted time.Duration // since the start of the simulation, as lastRenewal
 	lastRenewal  time.Duration // of the agent's registration
 	upstream     *upstream     // nil while it does not run
+	slowFactor   float64       // of the upstream's processing time; 0 and 1: as usual
 }
 
 func (w *World) addInstance(service string, slots int) *Instance {
@@ -125,7 +126,7 @@
 	u.heartbeats++
 	changed := i.relay.HandleHeartbeat(i.world.now(), relay.Upstream{
 		ID: u.id, Born: u.born, Sequence: u.heartbeats, Slots: i.slots, Draining: u.draining,
-		Age: i.world.Now().Sub(time.UnixMilli(u.born)),
+		Age: i.world.Now().Sub(time.UnixMilli(u.born)), ColdFor: u.coldFor(),
 	})
 	if u.draining && u.drainAckedAt == 0 {
 		u.drainAckedAt = i.world.now()
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -127,14 +127,13 @@
 	run := func() {
 		u.running++
 		w.count("ran")
-		d := time.Duration(w.random.ExpFloat64() * float64(meanWork))
-		w.After(d, func() { u.finish(flow, f) })
+		w.After(u.processingTime(flow), func() { u.finish(flow, f) })
 	}
 	if u.running < u.instance.slots {
 		run()
 		return
 	}
-	if len(u.queue) >= maxQueued {
+	if len(u.queue) >= w.queueLength {
 		w.count("shed")
 		f.busy = false
 		f.last = packet(flow, true, segment.Ack, f.nextSeq, f.wantSeq, shedBytes)
@@ -145,6 +144,32 @@
 	u.queue = append(u.queue, run)
 }
 
+// processingTime returns how long the upstream processes a request of the flow: the work
+// of its caller's request, or a random time for callers without a kind.
+func (u *upstream) processingTime(flow segment.Flow) time.Duration {
+	w := u.instance.world
+	c := w.callersByFlow[flow]
+	if c == nil || c.request == nil {
+		return time.Duration(w.random.ExpFloat64() * float64(meanWork))
+	}
+	return time.Duration(float64(c.request.Work) * u.slowness())
+}
+
+// slowness returns the factor by which the upstream is slower than usual.
+func (u *upstream) slowness() float64 {
+	factor := max(1, u.instance.slowFactor)
+	if u.coldFor() > 0 {
+		factor *= u.instance.world.cold.factor
+	}
+	return factor
+}
+
+// coldFor returns the remaining time of the upstream's warm-up.
+func (u *upstream) coldFor() time.Duration {
+	w := u.instance.world
+	return max(0, w.cold.duration-(w.Now().Sub(time.UnixMilli(u.born))))
+}
+
 // finish sends the response to a request and starts the next one in the queue.
 // While the upstream drains, the response also ends the flow.
 func (u *upstream) finish(flow segment.Flow, f *heldFlow) {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -28,6 +28,7 @@
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/rendezvous"
 	"hickoryhook.example/pkg/route"
+	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
 
@@ -67,7 +68,14 @@
 		holders        map[netip.AddrPort][]string        // services that may hold flows of the VIP
 		instances      []*Instance
 		entries        []*Entry
-		callers        []*caller
+		callers        int // added so far, for their addresses
+		callersByFlow  map[segment.Flow]*caller
+		kinds          map[netip.AddrPort]*Kind
+		requests       []*Request      // of the callers of AddLoad
+		without        map[string]bool // mechanisms that are switched off, see WithoutMechanism
+		cold           coldStart
+		queueLength    int           // of an upstream
+		startSpread    time.Duration // see WithStartSpread
 		nodes          map[peer.Addr]node
 		snapshots      map[peer.Addr][]director.FlowSnapshot // the flow snapshot that each entry stored last
 		counts         map[string]int
@@ -103,19 +111,27 @@
 // request that times out and each reset that counts as "broken".
 func WithTrace(out io.Writer) Option { return func(w *World) { w.trace = out } }
 
+// WithStartSpread sets the time within which processes start after a PowerCycle; the
+// default is 0.
+func WithStartSpread(d time.Duration) Option { return func(w *World) { w.startSpread = d } }
+
 // New returns a World without processes, callers and routes.
 func New(options ...Option) *World {
 	start := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
 	w := &World{
-		Loop:      vtime.New(start),
-		random:    rand.New(rand.NewPCG(1, 0)),
-		start:     start,
-		routes:    make(map[netip.AddrPort][]route.Share),
-		allowed:   make(map[netip.AddrPort]map[string]bool),
-		holders:   make(map[netip.AddrPort][]string),
-		nodes:     make(map[peer.Addr]node),
-		snapshots: make(map[peer.Addr][]director.FlowSnapshot),
-		counts:    make(map[string]int),
+		Loop:          vtime.New(start),
+		random:        rand.New(rand.NewPCG(1, 0)),
+		start:         start,
+		routes:        make(map[netip.AddrPort][]route.Share),
+		allowed:       make(map[netip.AddrPort]map[string]bool),
+		holders:       make(map[netip.AddrPort][]string),
+		nodes:         make(map[peer.Addr]node),
+		callersByFlow: make(map[segment.Flow]*caller),
+		kinds:         make(map[netip.AddrPort]*Kind),
+		without:       make(map[string]bool),
+		queueLength:   maxQueued,
+		snapshots:     make(map[peer.Addr][]director.FlowSnapshot),
+		counts:        make(map[string]int),
 	}
 	for _, o := range options {
 		o(w)
@@ -258,14 +274,22 @@
 func (w *World) Entries() int { return len(w.entries) }
 
 // PowerCycle cuts the power of all entries and instances and restores it after
-// the time down.
+// the time down. The processes start within the time of WithStartSpread after that.
 func (w *World) PowerCycle(down time.Duration) {
 	for _, e := range w.entries {
-		e.Crash(down)
+		e.Crash(down + w.startDelay())
 	}
 	for _, i := range w.instances {
-		i.PowerCycle(down)
+		i.PowerCycle(down + w.startDelay())
+	}
+}
+
+// startDelay returns a random time within the start spread.
+func (w *World) startDelay() time.Duration {
+	if w.startSpread == 0 {
+		return 0
 	}
+	return time.Duration(w.random.Int64N(int64(w.startSpread)))
 }
 
 // KillAll kills all entries and agents and starts them again after the time
@@ -301,7 +325,11 @@
 func (w *World) config() *route.Config {
 	var routes []route.Route
 	for vip, shares := range w.routes {
-		routes = append(routes, route.Route{VIP: vip, Shares: shares})
+		r := route.Route{VIP: vip, Shares: shares}
+		if k := w.kinds[vip]; k != nil {
+			r.Timeout, r.Target, r.Priority, r.Idempotent = k.Timeout, k.Target, k.Priority, k.Repeatable
+		}
+		routes = append(routes, r)
 	}
 	return route.New(w.version, routes)
 }
@@ -326,6 +354,7 @@
 // it.
 func (w *World) send(from, to peer.Addr, datagram []byte) {
 	w.counts["bytes"] += len(datagram)
+	datagram = w.withoutMechanisms(datagram)
 	if w.loss > 0 && w.random.Float64() < w.loss {
 		return
 	}
--- a/internal/verb/bench.go
+++ b/internal/verb/bench.go
@@ -10,6 +10,7 @@
 			benchPlacementVerb(),
 			benchPathVerb(),
 			benchFleetVerb(),
+			benchLoadVerb(),
 		},
 	}.command()
 }
