--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -18,7 +18,7 @@
 //
 //	queue := admission.NewQueue[string](256)
 //	queue.Add("a", admission.Terms{Until: now + 500*time.Millisecond})
-//	next, ok := queue.Next(now)
+//	next, ok := queue.Next()
 //
 // Times count from a fixed point, such as the start of the process. The types are not
 // safe for concurrent use.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -10,18 +10,13 @@
 	Terms struct {
 		// Priority is that of its route: 0 comes first.
 		Priority uint8
-		// LateFrom is the time from which its request cannot be answered within the
-		// target latency any more.
-		LateFrom time.Duration
 		// Until is when it is refused.
 		Until time.Duration
 	}
 
 	// Queue holds the openings that wait for an upstream, each with a value of type T.
-	// Urgent routes come first. Within a priority, requests that can still be answered
-	// within their target latency come first, the newest of them before the others: if
-	// the oldest came first in an overload, all would be answered late. The late ones
-	// follow, the oldest before the others, as its caller gives up first.
+	// Urgent routes come first, and the newest within a priority: in an overload the
+	// oldest would be answered late, and so would all others after it.
 	Queue[T any] struct {
 		max     int
 		waiting []entry[T] // in order of arrival
@@ -54,13 +49,13 @@
 }
 
 // Next removes and returns the next opening, and false if there is none.
-func (q *Queue[T]) Next(now time.Duration) (value T, ok bool) {
+func (q *Queue[T]) Next() (value T, ok bool) {
 	if len(q.waiting) == 0 {
 		return value, false
 	}
-	next := 0
-	for i, e := range q.waiting {
-		if i > 0 && e.terms.precede(q.waiting[next].terms, now) {
+	next := len(q.waiting) - 1
+	for i := next - 1; i >= 0; i-- {
+		if q.waiting[i].terms.Priority < q.waiting[next].terms.Priority {
 			next = i
 		}
 	}
@@ -91,11 +86,3 @@
 	})
 	return out
 }
-
-// precede reports whether an opening comes before another one that has waited longer.
-func (t Terms) precede(older Terms, now time.Duration) bool {
-	if t.Priority != older.Priority {
-		return t.Priority < older.Priority
-	}
-	return now < t.LateFrom
-}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -25,8 +25,9 @@
 
 const (
 	// patienceShare is the part of its route's timeout for which an opening may wait
-	// for an upstream. A caller that waited in vain has time for another attempt.
-	patienceShare = 0.5
+	// for an upstream. Callers make up to three attempts, and one that waited in vain
+	// leaves time for the others and for the answer.
+	patienceShare = 0.25
 	// defaultTimeout is assumed for a route without a timeout.
 	defaultTimeout = time.Second
 )
@@ -108,7 +109,7 @@
 	case stage == waitingStage && routed && rec.waitingPlace.known():
 		return peer.Frame{
 			Service: rec.waitingPlace.service, Candidates: []peer.Addr{rec.waitingPlace.agent},
-			Forced: true, Patience: patience(r), Target: r.Target, Priority: r.Priority,
+			Forced: true, Patience: patience(r), Priority: r.Priority,
 		}
 	}
 	return peer.Frame{}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -56,8 +56,8 @@
 	// each and a packet of 1500.
 	MaxFrame = headerSize + 4*MaxCandidates + 1500
 
-	// timeUnit is the unit of Frame.Patience and Frame.Target in a datagram.
-	timeUnit = 8 * time.Millisecond
+	// patienceUnit is the unit of Frame.Patience in a datagram.
+	patienceUnit = 8 * time.Millisecond
 
 	magic      = 0x68
 	headerSize = 20
@@ -102,7 +102,7 @@
 		// for this packet.
 		Stage int
 		// Round numbers the searches of a flow, so that the entry can ignore results
-		// of earlier ones. Not in openings.
+		// of earlier ones.
 		Round uint8
 		// Hop is the index in Candidates of the agent that the frame is sent to, and
 		// the length of Candidates in a Returned frame.
@@ -118,10 +118,9 @@
 		Forced bool
 		// Priority of an opening is its route's: 0 comes first.
 		Priority uint8
-		// Patience is how long an agent may let the opening wait for its upstream, and
-		// Target the target latency of its route, 0 if not known. Both are sent in
-		// units of timeUnit, and are 2.04 s at most.
-		Patience, Target time.Duration
+		// Patience is how long an agent may let the opening wait for a slot.
+		// It is sent in units of patienceUnit, up to maxPatience.
+		Patience time.Duration
 		// Candidates are the agents that may receive the packet, in order.
 		Candidates []Addr
 		// Packet is the caller's packet. Decode does not copy it.
@@ -161,7 +160,7 @@
 // Append appends the encoded frame to b.
 //
 // Layout: magic, kind, original kind, flags, entry (4), service (4), hop, count,
-// stage, round or target, best, best load, patience, priority, count addresses (4 each), packet.
+// stage, round, best, best load, patience, zero, count addresses (4 each), packet.
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Uncertain {
@@ -173,29 +172,15 @@
 	b = append(b, magic, byte(f.Kind), byte(f.OriginalKind), flags)
 	b = append(b, f.Entry[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.roundOrTarget(), byte(f.Best), f.BestLoad, encodeTime(f.Patience), f.Priority)
+	b = append(b, byte(f.Hop), byte(len(f.Candidates)), byte(f.Stage), f.Round, byte(f.Best), f.BestLoad, encodePatience(f.Patience), f.Priority)
 	for _, c := range f.Candidates {
 		b = append(b, c[:]...)
 	}
 	return append(b, f.Packet...)
 }
 
-// isOpening reports whether the frame carries an opening that is placed, or was before it
-// was returned.
-func (f *Frame) isOpening() bool {
-	return f.Kind == Place || f.Kind == Returned && f.OriginalKind == Place
-}
-
-// roundOrTarget returns the encoded Target of an opening, and the Round of other frames.
-func (f *Frame) roundOrTarget() byte {
-	if f.isOpening() {
-		return encodeTime(f.Target)
-	}
-	return f.Round
-}
-
-// encodeTime returns d in units of timeUnit, at most 255.
-func encodeTime(d time.Duration) byte { return byte(min(d/timeUnit, math.MaxUint8)) }
+// encodePatience returns d in units of patienceUnit, at most 255.
+func encodePatience(d time.Duration) byte { return byte(min(d/patienceUnit, math.MaxUint8)) }
 
 // Decode decodes a frame. It reuses f.Candidates; Packet points into b. It returns
 // ErrInvalidFrame if the header is invalid, but does not check the kind.
@@ -209,15 +194,10 @@
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[8:]))
 	f.Hop = int(b[12])
 	count := int(b[13])
-	f.Stage, f.Round, f.Target = int(b[14]), 0, 0
-	if f.isOpening() {
-		f.Target = time.Duration(b[15]) * timeUnit
-	} else {
-		f.Round = b[15]
-	}
+	f.Stage, f.Round = int(b[14]), b[15]
 	f.Best, f.BestLoad = int(b[16]), b[17]
 	f.Priority = b[19]
-	f.Patience = time.Duration(b[18]) * timeUnit
+	f.Patience = time.Duration(b[18]) * patienceUnit
 	if count > MaxCandidates || f.Hop > count || f.Best > count || len(b) < headerSize+4*count {
 		return ErrInvalidFrame
 	}
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -103,7 +103,7 @@
 func (r *Relay) delay(now time.Duration, f *peer.Frame, h segment.Header) {
 	w := &waitingOpening{frame: *f, header: h}
 	w.frame.Packet, w.frame.Candidates = slices.Clone(f.Packet), slices.Clone(f.Candidates)
-	if !r.waiting.Add(w, r.waitingTerms(now, f)) {
+	if !r.waiting.Add(w, admission.Terms{Priority: f.Priority, Until: now + f.Patience}) {
 		r.forward(f, h)
 		return
 	}
@@ -112,15 +112,6 @@
 	r.port.ToProcess(f.Entry, r.buf)
 }
 
-// waitingTerms returns the conditions under which the opening in the frame waits.
-func (r *Relay) waitingTerms(now time.Duration, f *peer.Frame) admission.Terms {
-	t := admission.Terms{Priority: f.Priority, LateFrom: now + f.Patience, Until: now + f.Patience}
-	if f.Target > 0 {
-		t.LateFrom = now + f.Target - r.load.ServiceTime()
-	}
-	return t
-}
-
 // serveWaiting offers waiting openings while the upstream has room for them. It returns
 // those that have waited for their patience to the entries, and all of them if the
 // upstream accepts no flows any more.
@@ -133,7 +124,7 @@
 		r.forward(&w.frame, w.header)
 	}
 	for r.waiting.Len() > 0 && r.load.HasRoom(now) {
-		w, _ := r.waiting.Next(now)
+		w, _ := r.waiting.Next()
 		r.offer(now, &w.frame, w.header)
 	}
 }
