--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -118,8 +118,8 @@
 		Forced bool
 		// Priority of an opening is its route's: 0 comes first.
 		Priority uint8
-		// Patience is how long an agent may let the opening wait for a slot.
-		// It is sent in units of patienceUnit, up to maxPatience.
+		// Patience is how long an agent may let the opening wait for its upstream. It is
+		// sent in units of patienceUnit, and is 2.04 s at most.
 		Patience time.Duration
 		// Candidates are the agents that may receive the packet, in order.
 		Candidates []Addr
@@ -160,7 +160,7 @@
 // Append appends the encoded frame to b.
 //
 // Layout: magic, kind, original kind, flags, entry (4), service (4), hop, count,
-// stage, round, best, best load, patience, zero, count addresses (4 each), packet.
+// stage, round, best, best load, patience, priority, count addresses (4 each), packet.
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Uncertain {
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -22,7 +23,7 @@
 	is := is.New(t)
 	in := peer.Frame{
 		Kind: peer.Returned, OriginalKind: peer.Search, Uncertain: true, Entry: peer.Addr{10, 0, 0, 1}, Service: peer.Service("huvo11a"),
-		Stage: 3, Round: 200, Hop: 1, Best: 2, BestLoad: 17, Forced: true,
+		Stage: 3, Round: 200, Hop: 1, Best: 2, BestLoad: 17, Forced: true, Patience: 504 * time.Millisecond, Priority: 2,
 		Candidates: []peer.Addr{{10, 0, 0, 2}, {10, 0, 0, 3}}, Packet: []byte("packet"),
 	}
 	var out peer.Frame
@@ -30,6 +31,14 @@
 	is.Equal(out, in)
 }
 
+// TestFrameTimesAreBounded checks that a patience beyond what a frame holds is cut down.
+func TestFrameTimesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var out peer.Frame
+	is.NoErr(out.Decode((&peer.Frame{Kind: peer.Place, Patience: time.Minute}).Append(nil)))
+	is.Equal(out.Patience, 2040*time.Millisecond)
+}
+
 // TestMessagesRoundTrip checks that decoding restores messages, and that two starts
 // of an upstream under one id have different identifiers.
 func TestMessagesRoundTrip(t *testing.T) {
@@ -43,6 +52,9 @@
 	var back peer.OwnerMessage
 	is.NoErr(back.Decode(owner.Append(nil)))
 	is.Equal(back, owner)
+	waiting := peer.OwnerMessage{Kind: peer.Owned, Flow: segment.Flow{}, Waiting: true}
+	is.NoErr(back.Decode(waiting.Append(nil)))
+	is.Equal(back, waiting)
 	is.True(peer.StartID("i-1", 5) != peer.StartID("i-1", 6)) // same id, other start time
 }
 
