Show waiting openings and admission in logs and metrics

Each stage of an opening, its wait and what an agent admits it from can be read from the lines placed-again, delayed and no-taker, the gauge admission and the latency waiting.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -88,8 +88,9 @@
 		{"check upstream", every(a.settings.HeartbeatInterval/4, a.checkOverdueUpstream)},
 		{"discover entries", a.discoverEntries},
 		a.metricsTask(map[string]func() any{
-			"status": func() any { return a.relay.Status(a.now()) },
-			"flows":  func() any { held, _ := a.relay.Flows(); return held },
+			"status":    func() any { return a.relay.Status(a.now()) },
+			"admission": func() any { return a.relay.Admission(a.now()) },
+			"flows":     func() any { held, _ := a.relay.Flows(); return held },
 		}),
 		a.httpTask(a.settings.ControlAddress, a.controlHandler()),
 		a.httpTask(a.settings.ReadyAddress, readyHandler(func() bool { return true })),
@@ -158,6 +159,9 @@
 	if f != nil {
 		fields = append(fields, zap.Stringer("entry", f.Entry), zap.Int("hop", f.Hop), zap.Int("candidates", len(f.Candidates)))
 	}
+	if event == relay.Delayed {
+		fields = append(fields, zap.Duration("patience-ms", f.Patience), zap.Uint8("priority", f.Priority))
+	}
 	a.log.Info(string(event), fields...)
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -202,6 +202,9 @@
 	if d.Version != 0 {
 		fields = append(fields, zap.Uint64("config", d.Version))
 	}
+	if d.Stage != 0 {
+		fields = append(fields, zap.Int("stage", d.Stage))
+	}
 	if d.Tried != 0 {
 		fields = append(fields, zap.Int("tried", d.Tried))
 	}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -65,7 +65,7 @@
 	// Placed means that a new flow was sent to the first of its candidates.
 	Placed Event = "placed"
 	// PlacedAgain means that no candidate accepted a new flow and that it was sent
-	// to the first of up to peer.MaxCandidates other agents of its service.
+	// to the first candidate of the next stage, see chosenStage and those after it.
 	PlacedAgain Event = "placed-again"
 	// NotAccepted means that a new flow was reset because no agent accepts it, or
 	// because no service of its route has a weight.
@@ -138,6 +138,8 @@
 		// Version is the version of the configuration in force, for Placed and for
 		// resets.
 		Version uint64
+		// Stage is the stage of an opening that was placed again.
+		Stage int
 		// Tried is the number of candidates on the list that was returned without
 		// one accepting the flow. For SearchedAll it is the number of agents queried.
 		Tried int
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -84,7 +84,7 @@
 		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
 		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
 		s.flows[h.Flow] = rec
-		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: rec.owner, Tried: len(f.Candidates)})
+		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: rec.owner, Stage: stage, Tried: len(f.Candidates)})
 		d.send(s, rec.owner, &next)
 		return
 	}
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -34,6 +34,20 @@
 	waitingOpening struct {
 		frame  peer.Frame
 		header segment.Header
+		since  time.Duration
+	}
+
+	// Admission is the state from which a relay admits openings, for operators.
+	Admission struct {
+		Slots   int `json:"slots"`
+		Running int `json:"running"`
+		// Busy is the number of requests that run or are expected at once.
+		Busy int `json:"busy"`
+		// Waiting is the number of openings that wait for the upstream.
+		Waiting int `json:"waiting"`
+		// ServiceMS is the observed mean time in milliseconds for which a request
+		// occupies a slot, 0 before the first answer.
+		ServiceMS int64 `json:"service-ms"`
 	}
 )
 
@@ -101,7 +115,7 @@
 // delay lets the opening wait for the upstream, and informs the entry, which sends
 // retransmissions of the opening here. If too many wait, the frame is forwarded.
 func (r *Relay) delay(now time.Duration, f *peer.Frame, h segment.Header) {
-	w := &waitingOpening{frame: *f, header: h}
+	w := &waitingOpening{frame: *f, header: h, since: now}
 	w.frame.Packet, w.frame.Candidates = slices.Clone(f.Packet), slices.Clone(f.Candidates)
 	if !r.waiting.Add(w, admission.Terms{Priority: f.Priority, Until: now + f.Patience}) {
 		r.forward(f, h)
@@ -125,6 +139,17 @@
 	}
 	for r.waiting.Len() > 0 && r.load.HasRoom(now) {
 		w, _ := r.waiting.Next()
+		r.port.RecordLatency(Waiting, now-w.since)
 		r.offer(now, &w.frame, w.header)
 	}
 }
+
+// Admission returns the state from which the relay admits openings.
+func (r *Relay) Admission(now time.Duration) Admission {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Admission{
+		Slots: r.load.Slots(), Running: r.load.Running(), Busy: r.load.Busy(now),
+		Waiting: r.waiting.Len(), ServiceMS: r.load.ServiceTime().Milliseconds(),
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -214,6 +214,9 @@
 	// Accepting is the time from an offered opening, or from the first delivered packet
 	// of an unknown flow, to the upstream's first packet.
 	Accepting Measure = "accepting"
+	// Waiting is the time for which an opening waited beside the upstream before it was
+	// offered.
+	Waiting Measure = "waiting"
 	// Answering is the time from the first data of a caller's request to the first
 	// data of the upstream's answer.
 	Answering Measure = "answering"
