Call what fails as one a failure domain

Renames alone: Place, WithPlace and place become FailureDomain, WithFailureDomain and domain, as the field and the users say. The key "place" of settings and metrics, and the numbers of the fields in messages, stay.

--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -210,7 +210,7 @@
 	}
 	common := settings.Common{
 		Name:           "bench",
-		Place:          "bench",
+		FailureDomain:  "bench",
 		TunnelAddress:  netip.AddrPortFrom(daemon.Loopback, 0),
 		Keys:           []settings.Key{{ID: 1, Secret: settings.Secret{1}}},
 		FlowHashSecret: settings.Secret{2},
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -37,7 +37,7 @@
 )
 
 var (
-	places = []string{"graz-nord", "graz-sued", "leoben"}
+	failureDomains = []string{"graz-nord", "graz-sued", "leoben"}
 )
 
 type (
@@ -76,7 +76,7 @@
 		entries: make(map[string]*entryd.Daemon),
 		agents:  make(map[string]*agentd.Daemon),
 		common: settings.Common{
-			Place:          places[0],
+			FailureDomain:  failureDomains[0],
 			Keys:           []settings.Key{{ID: 1, Secret: secret(seed)}},
 			FlowHashSecret: secret(seed + 1),
 		},
@@ -128,10 +128,10 @@
 		weight = oldWeight
 	}
 	return settings.Member{
-		Name:    fmt.Sprintf("%s-%d", service, i+1),
-		Address: address,
-		Place:   places[i%len(places)],
-		Weight:  weight,
+		Name:          fmt.Sprintf("%s-%d", service, i+1),
+		Address:       address,
+		FailureDomain: failureDomains[i%len(failureDomains)],
+		Weight:        weight,
 	}
 }
 
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -219,7 +219,7 @@
 	st.Incarnation = a.started.UnixMilli()
 	st.Sequence = a.sequence.Add(1)
 	st.Service = a.settings.Service
-	st.Place = a.settings.Place
+	st.FailureDomain = a.settings.FailureDomain
 	return st
 }
 
--- a/internal/fleet/draining.go
+++ b/internal/fleet/draining.go
@@ -27,7 +27,7 @@
 	maxReadyAfterStop = 2 * time.Second
 )
 
-// neighbour is the state of another entry of the same place.
+// neighbour is the state of another entry of the same failure domain.
 type neighbour struct {
 	lastHello  time.Duration // 0 before the first
 	ready      bool
@@ -36,7 +36,7 @@
 
 // mayTurnNotReady reports whether an entry that was told to stop may report not
 // ready. It must wait, for at most maxReadyAfterStop, while too many neighbours are
-// unavailable: with less than half of a place's entries ready the routers send to
+// unavailable: with less than half of a domain's entries ready the routers send to
 // all of them, including those that have ended. waited is the time since the entry
 // was told to stop.
 func mayTurnNotReady(now, waited time.Duration, neighbours []neighbour) bool {
@@ -49,7 +49,7 @@
 
 // enoughReady reports whether the routers send to the ready neighbours alone
 // once this entry is not ready. They do if the ready ones are at least half of
-// the place's entries, this one included.
+// the domain's entries, this one included.
 func enoughReady(ready, unavailable int) bool { return ready > 0 && 2*ready >= 1+ready+unavailable }
 
 // countNeighbours counts the neighbours to which the routers send packets
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), helloSentAt: make(map[peer.Addr]time.Duration)}
-	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithPlace(s.Place))
+	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain))
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
 	return e, nil
 }
@@ -145,7 +145,7 @@
 func (e *Entry) drain() {
 	requestedAt := e.now()
 	e.log.Info("entry stops", zap.Int("flows", e.director.Flows()))
-	for !mayTurnNotReady(e.now(), e.now()-requestedAt, e.entries.neighbours(e.settings.Place)) {
+	for !mayTurnNotReady(e.now(), e.now()-requestedAt, e.entries.neighbours(e.settings.FailureDomain)) {
 		time.Sleep(tickInterval)
 	}
 	notReadyAt := e.now()
@@ -328,7 +328,7 @@
 func (e *Entry) helloMessage(wantsReply, withEntries bool) peer.HelloMessage {
 	now := e.now()
 	hello := peer.HelloMessage{
-		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, Place: e.settings.Place, Ready: e.ready(), VerifiedAgo: neverVerified,
+		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain, Ready: e.ready(), VerifiedAgo: neverVerified,
 	}
 	if withEntries {
 		hello.Entries = e.entries.alive(now)
--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -38,7 +38,7 @@
 }
 
 // observe processes a sample: how long a packet has waited, and whether the
-// other entries of the place are enough for the routers to send to them alone.
+// other entries of the failure domain are enough for the routers to send to them alone.
 // An overload begins after overloadSamples samples in a row of at least
 // overloadThreshold, if there are enough others and the hold time of the last
 // overload is over. observe reports whether the state has changed.
--- a/internal/fleet/overload_check.go
+++ b/internal/fleet/overload_check.go
@@ -9,7 +9,7 @@
 )
 
 // checkOverload measures the lag and takes the entry out of rotation while
-// packets wait too long in its socket and the other entries of its place are
+// packets wait too long in its socket and the other entries of its failure domain are
 // enough to serve the callers. If the lag reaches reportInterval, reports of
 // agents may wait unread, too, and the director must not treat silent agents as
 // failed. If the probe of the lag cannot be sent, nothing changes.
@@ -23,7 +23,7 @@
 	if lag >= reportInterval {
 		e.director.MarkDelayed(now)
 	}
-	ready, unavailable := countNeighbours(now, e.entries.neighbours(e.settings.Place))
+	ready, unavailable := countNeighbours(now, e.entries.neighbours(e.settings.FailureDomain))
 	if !e.overload.observe(now, lag, enoughReady(ready, unavailable)) {
 		return
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -91,7 +91,7 @@
 		added       time.Duration // when the address became known
 		active      bool          // a hello message has arrived since the last goodbye message
 		incarnation int64
-		place       string
+		domain      string // failure domain
 		ready       bool
 		readySince  time.Duration // when ready last became true; 0 if it never did
 	}
@@ -352,7 +352,7 @@
 		e.readySince = now
 	}
 	e.lastHello, e.active, e.incarnation = now, true, hello.Incarnation
-	e.place, e.ready = hello.Place, hello.Ready
+	e.domain, e.ready = hello.FailureDomain, hello.Ready
 	return isNew
 }
 
@@ -399,13 +399,13 @@
 	return out
 }
 
-// neighbours returns the state of the other entries of a place.
-func (s *entrySet) neighbours(place string) []neighbour {
+// neighbours returns the state of the other entries of a failure domain.
+func (s *entrySet) neighbours(domain string) []neighbour {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []neighbour
 	for _, e := range s.byAddr {
-		if e.place == place {
+		if e.domain == domain {
 			out = append(out, neighbour{lastHello: e.lastHello, ready: e.active && e.ready, readySince: e.readySince})
 		}
 	}
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -138,7 +138,7 @@
 // settings returns the settings of a process on a host.
 func (s *site) settings(host netip.Addr) *platform.Settings {
 	return &platform.Settings{
-		Node: host.String(), Address: host, Place: "loopback", Service: service,
+		Node: host.String(), Address: host, FailureDomain: "loopback", Service: service,
 		DatagramAddress: s.addrPort(host, portPackets), ReadyAddress: s.addrPort(host, portReady), ControlAddress: s.addrPort(host, portControl),
 		OutboundAddress: s.addrPort(host, portFromUpstream), UpstreamAddress: s.addrPort(host, portUpstream),
 		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: heartbeatInterval,
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -205,7 +205,7 @@
 		return nil, errors.Join(errors.Wrap(err, "create log"), p.close())
 	}
 	b, err := json.Marshal(map[string]any{
-		"node-name": s.Node, "ip": s.Address, "zone": s.Place, "service": s.Service, "app": s.UpstreamAddress,
+		"node-name": s.Node, "ip": s.Address, "zone": s.FailureDomain, "service": s.Service, "app": s.UpstreamAddress,
 		"listen": map[string]any{
 			"datagrams": s.DatagramAddress, "ready": s.ReadyAddress, "control": s.ControlAddress, "outbound": s.OutboundAddress,
 		},
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -187,7 +187,7 @@
 	fmt.Fprintf(t, "\nservice\tagent\tupstream\tplace\ttaking\tflows\trunning\tslots\tage\n")
 	for _, a := range o.summarizeAgents() {
 		s := a.status
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%t\t%d\t%d\t%d\t%s\n", s.Service, s.Agent, s.Upstream, s.Place, s.Taking, s.Flows, s.Running, s.Slots,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%t\t%d\t%d\t%d\t%s\n", s.Service, s.Agent, s.Upstream, s.FailureDomain, s.Taking, s.Flows, s.Running, s.Slots,
 			time.Duration(s.AgeMS)*time.Millisecond)
 	}
 	return t.Flush()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,11 +55,11 @@
 	// Member is an upstream of a service. Address is the tunnel address of its agent.
 	// Weight 0 means the default weight, and an empty State means ready.
 	Member struct {
-		Name    string         `json:"name"`
-		Address netip.AddrPort `json:"address"`
-		Place   string         `json:"place"`
-		Weight  uint32         `json:"weight"`
-		State   string         `json:"state"`
+		Name          string         `json:"name"`
+		Address       netip.AddrPort `json:"address"`
+		FailureDomain string         `json:"place"`
+		Weight        uint32         `json:"weight"`
+		State         string         `json:"state"`
 	}
 
 	// Service is a service with its VIP and its members.
@@ -72,8 +72,8 @@
 
 	// Common holds the settings that entries and agents share.
 	Common struct {
-		Name  string `json:"name"`
-		Place string `json:"place"`
+		Name          string `json:"name"`
+		FailureDomain string `json:"place"`
 		// TunnelAddress is the UDP address for packets between processes.
 		TunnelAddress netip.AddrPort `json:"tunnel-address"`
 		// MetricsAddress is where the process serves its metrics. Without it the
@@ -147,7 +147,7 @@
 	if weight == 0 {
 		weight = member.DefaultWeight
 	}
-	return member.New(m.Name, m.Address, member.WithPlace(m.Place), member.WithWeight(weight), member.WithState(state))
+	return member.New(m.Name, m.Address, member.WithFailureDomain(m.FailureDomain), member.WithWeight(weight), member.WithState(state))
 }
 
 // parseState returns the state with the given name, and whether there is one. The
@@ -166,7 +166,7 @@
 	switch {
 	case c.Name == "":
 		return missing("name")
-	case c.Place == "":
+	case c.FailureDomain == "":
 		return missing("place")
 	case !c.TunnelAddress.IsValid():
 		return missing("tunnel-address")
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -151,25 +151,25 @@
 }
 
 // sortByRendezvous sorts agents into the rendezvous order of a flow, in which those
-// of the entry's place have a higher weight.
+// of the entry's failure domain have a higher weight.
 func (m *members) sortByRendezvous(list []*agent, hash uint64) {
 	score := func(a *agent) float64 {
 		weight := uint32(1)
-		if a.status.Place == m.place {
-			weight = samePlaceWeight
+		if a.status.FailureDomain == m.domain {
+			weight = sameDomainWeight
 		}
 		return rendezvous.Score(hash, rendezvous.NewNode(a.address.ID(), weight))
 	}
 	slices.SortFunc(list, func(a, b *agent) int { return cmp.Compare(score(b), score(a)) })
 }
 
-// cost returns an agent's load, raised for an agent of another place.
+// cost returns an agent's load, raised for an agent of another failure domain.
 func (m *members) cost(now time.Duration, a *agent) float64 {
 	load := a.load(now)
-	if a.status.Place == m.place {
+	if a.status.FailureDomain == m.domain {
 		return load
 	}
-	return load*otherPlaceFactor + otherPlaceCost
+	return load*otherDomainFactor + otherDomainCost
 }
 
 // load returns the agent's load in open flows per slot of its upstream. It includes
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -190,9 +190,11 @@
 	Option func(*Director)
 )
 
-// WithPlace sets the entry's failure domain. Upstreams of the same place are
+// WithFailureDomain sets the entry's failure domain. Upstreams of the same one are
 // preferred unless they are much busier.
-func WithPlace(place string) Option { return func(x *Director) { x.members.place = place } }
+func WithFailureDomain(domain string) Option {
+	return func(x *Director) { x.members.domain = domain }
+}
 
 // WithLifetime sets the maximum time without packets after which a flow is removed
 // from the cache. It also limits the idle timeout of the configuration.
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -34,15 +34,15 @@
 	// coldPenalty is the factor by which an upstream is slower while it is cold,
 	// that is during its warm-up.
 	coldPenalty = 1.6
-	// samePlaceWeight is the rendezvous weight of an agent of the entry's place.
+	// sameDomainWeight is the rendezvous weight of an agent of the entry's failure domain.
 	// Others have weight 1, so that they are less likely to be compared for a flow.
-	samePlaceWeight = 3
-	// otherPlaceFactor and otherPlaceCost raise the cost of an upstream in another
-	// place: to be chosen it must be less loaded by a tenth and by one flow for
-	// each three slots. A packet to another place takes half a millisecond longer
-	// and uses the links between places.
-	otherPlaceFactor = 1.1
-	otherPlaceCost   = 0.33
+	sameDomainWeight = 3
+	// otherDomainFactor and otherDomainCost raise the cost of an upstream in another
+	// failure domain: to be chosen it must be less loaded by a tenth and by one flow
+	// for each three slots. A packet to another domain takes longer and uses the links
+	// between domains.
+	otherDomainFactor = 1.1
+	otherDomainCost   = 0.33
 	// runningWeight is the number of open flows that one running request counts as.
 	runningWeight = 4
 )
@@ -50,7 +50,7 @@
 type (
 	// members holds the known state of the agents.
 	members struct {
-		place      string // of this entry
+		domain     string // failure domain of this entry
 		mu         sync.RWMutex
 		agents     map[peer.Addr]*agent
 		byService  map[peer.ServiceID][]*agent
@@ -70,15 +70,15 @@
 	// to Slots are from the agent's last peer.Status, Upstream from the last that
 	// named one for this service.
 	AgentStatus struct {
-		Agent    string `json:"agent"`
-		Service  string `json:"service"`
-		Upstream string `json:"upstream"`
-		Place    string `json:"place"`
-		Taking   bool   `json:"taking"`
-		Failing  bool   `json:"failing"`
-		Flows    int    `json:"flows"`
-		Running  int    `json:"running"`
-		Slots    int    `json:"slots"`
+		Agent         string `json:"agent"`
+		Service       string `json:"service"`
+		Upstream      string `json:"upstream"`
+		FailureDomain string `json:"place"`
+		Taking        bool   `json:"taking"`
+		Failing       bool   `json:"failing"`
+		Flows         int    `json:"flows"`
+		Running       int    `json:"running"`
+		Slots         int    `json:"slots"`
 		// AgeMS is the age of the agent's last report in milliseconds.
 		AgeMS int64 `json:"age-ms"`
 	}
@@ -322,7 +322,7 @@
 	out := make([]AgentStatus, 0, len(m.agents))
 	for _, a := range m.agents {
 		out = append(out, AgentStatus{
-			Agent: a.address.String(), Service: a.status.Service, Upstream: a.status.Upstream, Place: a.status.Place,
+			Agent: a.address.String(), Service: a.status.Service, Upstream: a.status.Upstream, FailureDomain: a.status.FailureDomain,
 			Taking: a.status.Taking, Failing: a.status.Failing, Flows: a.status.Flows, Running: a.status.Running, Slots: a.status.Slots,
 			AgeMS: (now - a.reportedAt).Milliseconds(),
 		})
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	a := member.New("a", addr, member.WithWeight(100), member.WithPlace("north"))
+//	a := member.New("a", addr, member.WithWeight(100), member.WithFailureDomain("north"))
 //	view := member.NewView(service, 1, []member.Member{a})
 //	var order [3]member.ID
 //	n := view.Top(digest, order[:])
@@ -59,7 +59,7 @@
 		id          ID
 		name        string
 		address     netip.AddrPort
-		place       string
+		domain      string // failure domain
 		weight      uint32
 		state       State
 		incarnation uint64
@@ -102,9 +102,9 @@
 	return func(m *Member) { m.weight = weight }
 }
 
-// WithPlace sets the failure domain of the member.
-func WithPlace(place string) Option {
-	return func(m *Member) { m.place = place }
+// WithFailureDomain sets the failure domain of the member.
+func WithFailureDomain(domain string) Option {
+	return func(m *Member) { m.domain = domain }
 }
 
 // WithState sets the state of the member.
@@ -127,8 +127,8 @@
 // Address returns the UDP address of the member's agent.
 func (m Member) Address() netip.AddrPort { return m.address }
 
-// Place returns the failure domain of the member.
-func (m Member) Place() string { return m.place }
+// FailureDomain returns the failure domain of the member.
+func (m Member) FailureDomain() string { return m.domain }
 
 // Weight returns the relative share of flows for which the member is the home.
 func (m Member) Weight() uint32 { return m.weight }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -39,8 +39,8 @@
 		// Running is the number of open flows with a request that was delivered and
 		// is not answered yet. It leaves out requests without an answer for too long.
 		Running int `cbor:"10,keyasint,omitempty"`
-		// Place is the agent's failure domain.
-		Place string `cbor:"11,keyasint,omitempty"`
+		// FailureDomain is the agent's failure domain.
+		FailureDomain string `cbor:"11,keyasint,omitempty"`
 	}
 
 	// HelloMessage is an entry's report on itself and, at times, on the processes
@@ -59,8 +59,8 @@
 		// Agents are the agents that the sender knows, or a part of them; set in
 		// replies only.
 		Agents []Addr `cbor:"4,keyasint,omitempty"`
-		// Place is the entry's failure domain.
-		Place string `cbor:"6,keyasint,omitempty"`
+		// FailureDomain is the entry's failure domain.
+		FailureDomain string `cbor:"6,keyasint,omitempty"`
 		// Ready means that the entry is ready for callers.
 		Ready bool `cbor:"7,keyasint,omitempty"`
 		// WantsReply asks the receiver to reply with Entries and Agents.
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -129,7 +129,7 @@
 }
 
 // Status returns the upstream's part of the agent's report to entries. The agent
-// adds Incarnation, Sequence, Service and Place.
+// adds Incarnation, Sequence, Service and FailureDomain.
 func (r *Relay) Status(now time.Duration) peer.Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
