--- a/internal/fleetsim/pattern.go
+++ b/internal/fleetsim/pattern.go
@@ -135,6 +135,8 @@
 	r.P99 += other.P99
 	r.Bound.Answered += other.Bound.Answered
 	r.Bound.InAim += other.Bound.InAim
+	r.Bound.InAimFirst += other.Bound.InAimFirst
+	r.Bound.AnsweredThen += other.Bound.AnsweredThen
 }
 
 // PatternNames returns the names of the patterns that LoadPattern knows.
--- a/internal/verb/bench_load.go
+++ b/internal/verb/bench_load.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -20,11 +22,13 @@
 queues and warm-up. Prints for each kind how many requests were answered within their
 target or later, were refused or failed, and the latencies of the answers in
 milliseconds; the mean over the seeds. "bound" is what a scheduler that knows all
-arrivals could answer in time, or within the target by another schedule, of the
-requests whose first service is that of the first kind. Exit code 1 if an invariant was
+arrivals could answer, of the requests whose first service is that of the first kind:
+by one schedule in time, by another within the target, by a third in time without making
+others late. Exit code 1 if an invariant was
 violated.
 
-  -pattern NAME   pattern to simulate (default return-after-power-loss): %s
+  -pattern NAME   pattern to simulate (default return-after-power-loss): %s,
+                  or a file in their format, whose name ends in .json
   -first N        first seed (default 1)
   -seeds N        number of seeds (default 5)
   -without NAME   switches a mechanism off: %s
@@ -69,7 +73,7 @@
 		}
 		r.options = append(r.options, fleetsim.WithoutMechanism(*without))
 	}
-	pattern, err := fleetsim.LoadPattern(*name)
+	pattern, err := loadPattern(*name)
 	if err != nil {
 		return nil, &usageError{err: errors.Wrap(err, "bench load")}
 	}
@@ -77,6 +81,18 @@
 	return r, nil
 }
 
+// loadPattern returns a pattern by its name, or from a file if the name ends in .json.
+func loadPattern(name string) (*fleetsim.Pattern, error) {
+	if filepath.Ext(name) != ".json" {
+		return fleetsim.LoadPattern(name)
+	}
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read pattern")
+	}
+	return fleetsim.DecodePattern(b)
+}
+
 // run simulates the pattern with each seed. It returns an error if an invariant was
 // violated.
 func (r *benchLoadRunner) run(ctx context.Context) error {
@@ -121,12 +137,16 @@
 		}
 		bound.Answered += sum.Bound.Answered
 		bound.InAim += sum.Bound.InAim
+		bound.InAimFirst += sum.Bound.InAimFirst
+		bound.AnsweredThen += sum.Bound.AnsweredThen
 		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", results[0].Kinds[i].Kind,
 			float64(sum.Asked)/n, float64(sum.InAim)/n, float64(sum.Late)/n, float64(sum.Refused)/n, float64(sum.Failed)/n, sum.P50/n, sum.P99/n)
 	}
 	for _, result := range results {
 		worst += result.WorstWindow
 	}
-	fmt.Fprintf(t, "\nworst two seconds: %.3f in aim; bound: %.0f answered, or %.0f in aim\n", worst/n, float64(bound.Answered)/n, float64(bound.InAim)/n)
+	fmt.Fprintf(t, "\nworst two seconds: %.3f in aim\n", worst/n)
+	fmt.Fprintf(t, "bound: %.0f answered; or %.0f in aim; or %.0f answered of which %.0f in aim\n",
+		float64(bound.Answered)/n, float64(bound.InAim)/n, float64(bound.AnsweredThen)/n, float64(bound.InAimFirst)/n)
 	return t.Flush()
 }
