Weigh upstreams by their observed service time

Cause: coldPenalty repeated the cold factor of the users' sites, and an upstream that turned slow counted like the others until its requests piled up. Hypothesis: what agents observe for admission also says how slow an upstream is. Change: reports carry the service time, and the load of an agent is multiplied by its ratio to the mean of its service. The constant goes.

--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -19,9 +19,10 @@
 	if len(agents) == 0 {
 		return nil, 0, 0
 	}
+	usual := usualServiceTime(agents)
 	m.sortByRendezvous(agents, hash)
 	choices := agents[:min(openingChoices, len(agents))]
-	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(m.cost(now, a), m.cost(now, b)) })
+	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(m.cost(now, a, usual), m.cost(now, b, usual)) })
 	first := choices[0]
 	load, age := first.load(now), now-first.reportedAt
 	first.pending++
@@ -163,9 +164,26 @@
 	slices.SortFunc(list, func(a, b *agent) int { return cmp.Compare(score(b), score(a)) })
 }
 
-// cost returns an agent's load, raised for an agent of another failure domain.
-func (m *members) cost(now time.Duration, a *agent) float64 {
+// usualServiceTime returns the mean service time of those of the agents that report one,
+// in microseconds, 0 if none does.
+func usualServiceTime(agents []*agent) float64 {
+	sum, n := 0.0, 0
+	for _, a := range agents {
+		if a.status.ServiceTime > 0 {
+			sum += float64(a.status.ServiceTime)
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+// cost returns an agent's load, raised for an upstream that is slower than usual and for
+// an agent of another failure domain.
+func (m *members) cost(now time.Duration, a *agent, usual float64) float64 {
 	load := a.load(now)
+	if usual > 0 && a.status.ServiceTime > 0 {
+		load *= float64(a.status.ServiceTime) / usual
+	}
 	if a.status.FailureDomain == m.domain {
 		return load
 	}
@@ -174,11 +192,11 @@
 
 // load returns the agent's load in open flows per slot of its upstream. It includes
 // the pending flows, and counts each running request as runningWeight flows. A cold
-// upstream counts as having one more flow, and its load is multiplied by coldPenalty.
+// upstream counts as having one more flow.
 func (a *agent) load(now time.Duration) float64 {
 	work := float64(a.status.Flows+a.pending) + runningWeight*float64(a.status.Running)
 	if a.status.Cold() > now-a.reportedAt {
-		work = (work + 1) * coldPenalty
+		work++
 	}
 	return work / float64(max(1, a.status.Slots))
 }
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -31,9 +31,6 @@
 	// openingChoices is the number of agents that are compared for a new flow, the
 	// first in its rendezvous order.
 	openingChoices = 5
-	// coldPenalty is the factor by which an upstream is slower while it is cold,
-	// that is during its warm-up.
-	coldPenalty = 1.6
 	// sameDomainWeight is the rendezvous weight of an agent of the entry's failure domain.
 	// Others have weight 1, so that they are less likely to be compared for a flow.
 	sameDomainWeight = 3
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -39,6 +39,9 @@
 		// Running is the number of open flows with a request that was delivered and
 		// is not answered yet. It leaves out requests without an answer for too long.
 		Running int `cbor:"10,keyasint,omitempty"`
+		// ServiceTime is the observed mean time for which a request occupies a slot of
+		// the upstream, in microseconds; 0 before the first answer.
+		ServiceTime int64 `cbor:"14,keyasint,omitempty"`
 		// FailureDomain is the agent's failure domain.
 		FailureDomain string `cbor:"11,keyasint,omitempty"`
 	}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -15,7 +15,7 @@
 
 var status = peer.Status{
 	Incarnation: 1796250000000, Sequence: 40000, Service: "huvo11a", Upstream: "i-7f3a91c2b5", Taking: true,
-	Slots: 5, Flows: 180, Running: 7, FailureDomain: "registry-wing",
+	Slots: 5, Flows: 180, Running: 7, ServiceTime: 22000, FailureDomain: "registry-wing",
 }
 
 // TestFrameRoundTrip checks that decoding an encoded frame restores every field.
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -134,15 +134,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return peer.Status{
-		Upstream: r.upstream.ID,
-		Born:     r.upstream.Born,
-		Taking:   r.alive && !r.upstream.Draining,
-		Empty:    r.ended,
-		Failing:  r.detector.isEjected(now),
-		Slots:    r.upstream.Slots,
-		ColdFor:  max(0, r.coldUntil-now).Milliseconds(),
-		Flows:    r.activeFlows,
-		Running:  r.load.Running(),
+		Upstream:    r.upstream.ID,
+		Born:        r.upstream.Born,
+		Taking:      r.alive && !r.upstream.Draining,
+		Empty:       r.ended,
+		Failing:     r.detector.isEjected(now),
+		Slots:       r.upstream.Slots,
+		ColdFor:     max(0, r.coldUntil-now).Milliseconds(),
+		Flows:       r.activeFlows,
+		Running:     r.load.Running(),
+		ServiceTime: r.load.ServiceTime().Microseconds(),
 	}
 }
 
