--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -18,7 +18,6 @@
 	// out of rotation at least, while enough other entries are ready. It stays out
 	// longer while packets still wait. An entry without callers shows no load even
 	// if it is still slow, so the hold time doubles with each relapse instead.
-	// Instances have been slow for 2 to 6 s at a time.
 	minHold = 4 * time.Second
 	maxHold = 16 * time.Second
 	// relapseWindow is the time after the end of an overload within which the
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -39,8 +39,7 @@
 	// 0.6 ms a hop, and five times that if the entry is five times slower than usual.
 	searchRetryAfter = 150 * time.Millisecond
 	// queriesPerSecond and queryBurst limit the searches that query all agents. At
-	// 72 bytes a message and 50 agents they take 1 Mbit/s, a tenth of the slowest
-	// link of a site.
+	// 72 bytes a message and 50 agents they take 1 Mbit/s.
 	queriesPerSecond = 35
 	queryBurst       = 35
 	// maxConfigAge is the time since the last verification against the store up to
--- a/pkg/relay/outlier.go
+++ b/pkg/relay/outlier.go
@@ -4,7 +4,7 @@
 
 const (
 	// outcomeWindow is the number of most recent requests over which failures
-	// are counted. At peak load an upstream completes them in 0.3 s.
+	// are counted.
 	outcomeWindow = 20
 	// ejectionFailures is how many failures in the window eject an upstream. An
 	// upstream that is merely overloaded resets 3 requests in 100.
@@ -12,7 +12,6 @@
 	// minEjection and maxEjection bound how long an ejected upstream gets no
 	// new flows except forced ones; the time doubles with each further ejection, see
 	// backoffResetAfter.
-	// Upstreams that failed intermittently did so for 1 to 2 s at a time.
 	minEjection = time.Second
 	maxEjection = 8 * time.Second
 	// trialInterval is the interval between new flows of an upstream on trial,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -40,15 +40,14 @@
 	// first sequence number, in bytes: 16 MiB, 200 of the largest answers. The packets
 	// of a flow that exceeds it no longer match.
 	maxAckOffset = 16 << 20
-	// runningTimeout is how long a request without an answer counts as running.
-	// It exceeds the longest deadline of a caller, 6 s.
+	// runningTimeout is how long a request without an answer counts as running: a safety
+	// bound for answers that never come, longer than callers usually wait.
 	runningTimeout = 10 * time.Second
 	// maxWaiting bounds the openings that wait for the upstream. With their packets
 	// they take 200 bytes each.
 	maxWaiting = 256
 	// activeWindow is how long after a caller's last packet its flow counts as
-	// load. Callers pause for 1 to 3 s between requests; a flow that its caller
-	// has abandoned stays open at the upstream for longer.
+	// load. A flow that its caller has abandoned stays open at the upstream for longer.
 	activeWindow = 4 * time.Second
 	// olderStartSilence is how long the newest start of the upstream must have
 	// sent no heartbeat before a start with an earlier time of day is accepted
