Offer openings to further agents only if none of the chosen upstreams runs

Hypothesis: in an overload the other agents of a service are busy, too, and 30 more hops cost more than they find.

--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -13,7 +13,8 @@
 const (
 	// chosenStage offers the flow to the agents that openingCandidates has chosen.
 	chosenStage = iota
-	// untriedStage offers it to the other agents of the service.
+	// untriedStage offers it to the other agents of the service, if no upstream of the
+	// chosen ones may take it at all.
 	untriedStage
 	// overflowStage offers it to agents of another service of the route: rather than
 	// wait for the service that its weights select, a flow goes where slots are free.
@@ -97,7 +98,7 @@
 func (d *Director) openingStage(now time.Duration, stage int, rec *flowRecord, f *peer.Frame, h segment.Header) peer.Frame {
 	r, routed := d.config.Load().Lookup(h.Flow.VIP())
 	switch {
-	case stage == untriedStage:
+	case stage == untriedStage && !rec.waitingPlace.known():
 		return peer.Frame{Service: f.Service, Candidates: d.members.untried(now, f.Service, f.Candidates)}
 	case stage == overflowStage && routed:
 		other, ok := r.PickExcept(h.Flow.Hash(), func(name string) bool { return peer.Service(name) == f.Service })
