--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -43,8 +43,8 @@
 	// runningTimeout is how long a request without an answer counts as running: a safety
 	// bound for answers that never come, longer than callers usually wait.
 	runningTimeout = 10 * time.Second
-	// maxWaiting bounds the openings that wait for the upstream. With their packets
-	// they take 200 bytes each.
+	// maxWaiting bounds the openings that wait for the upstream, and with it their
+	// memory: 0.25 KB each.
 	maxWaiting = 256
 	// activeWindow is how long after a caller's last packet its flow counts as
 	// load. A flow that its caller has abandoned stays open at the upstream for longer.
