Limit nothing while the slots of an upstream are not known

An agent that is back before its upstream's next heartbeat knew one slot, and admitted two requests, where the code before had forced up to three. Change: until a heartbeat, an agent limits nothing.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -341,7 +341,7 @@
 		a.log.Info("health check response not closed", daemon.Err(err))
 	}
 	if resp.StatusCode == http.StatusOK && a.lastHeartbeat.Load() == 0 {
-		a.relay.AssumeReady(a.now(), assumedSlots)
+		a.relay.AssumeReady(assumedSlots)
 	}
 	a.log.Info("health check of upstream", zap.Int("status", resp.StatusCode))
 }
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -70,7 +70,7 @@
 	if i.upstream == nil {
 		i.relay.MarkEnded(i.world.now())
 	} else if !i.upstream.draining {
-		i.relay.AssumeReady(i.world.now(), 1)
+		i.relay.AssumeReady(1)
 	}
 	running := func() bool { return i.agentUp && i.generation == generation && !i.removed }
 	w.Every(tickInterval, tickInterval, func() bool {
--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -52,7 +52,8 @@
 )
 
 type (
-	// Load tracks the requests of one upstream. The zero value has one slot.
+	// Load tracks the requests of one upstream. Until SetSlots, the number of slots is
+	// not known: the load then limits nothing, and counts as having one slot.
 	Load struct {
 		slots    int
 		running  int        // requests without an answer
@@ -99,6 +100,9 @@
 
 // HasRoom reports whether the upstream should be given a further request.
 func (l *Load) HasRoom(now time.Duration) bool {
+	if l.slots == 0 {
+		return true
+	}
 	return l.Busy(now) < l.Slots()+l.lookahead()
 }
 
--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -122,6 +122,21 @@
 	is.True(load.HasFreeSlot(now + 24*ms)) // three times the usual delay
 }
 
+// TestUnknownSlotsLimitNothing covers an agent that was killed and is back before its
+// upstream's next heartbeat: the upstream has more slots than the agent knows, and callers
+// must not wait or be refused for that.
+func TestUnknownSlotsLimitNothing(t *testing.T) {
+	is := is.New(t)
+	var load admission.Load
+	for range 10 {
+		is.True(load.HasRoom(0))
+		load.Begin(0, load.Open(0))
+	}
+	is.True(!load.HasFreeSlot(0)) // openings still go to the least busy upstream
+	load.SetSlots(0, 3)
+	is.True(!load.HasRoom(0))
+}
+
 // TestCancelledOpeningIsNotExpected covers an upstream that refuses an opening, and a
 // flow that ends after its request has begun.
 func TestCancelledOpeningIsNotExpected(t *testing.T) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -168,7 +168,7 @@
 	case "ended":
 		r.relay.MarkEnded(r.now)
 	case "assume-ready":
-		r.relay.AssumeReady(r.now, 2)
+		r.relay.AssumeReady(2)
 	case "wait":
 		r.now += time.Duration(number(words, 1)) * time.Millisecond
 	case "tick":
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -72,13 +72,12 @@
 
 // AssumeReady treats the upstream as ready with the given number of slots until
 // its first heartbeat. It does nothing after a heartbeat or a deregistration.
-func (r *Relay) AssumeReady(now time.Duration, slots int) {
+func (r *Relay) AssumeReady(slots int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.startID == 0 && !r.deregistered {
 		r.alive = true
 		r.upstream.Slots = slots
-		r.load.SetSlots(now, slots)
 	}
 }
 
