--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -67,7 +67,7 @@
 		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
 	rec.owner, rec.startID, rec.open, rec.searching = from, o.Start, true, false
-	rec.stages, rec.packet = nil, nil
+	rec.stages = nil
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -196,7 +196,6 @@
 		idle = c.IdleTimeout()
 	}
 	idle = min(idle+idleSlack, d.lifetime)
-	settled := d.settled(now)
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
@@ -205,9 +204,6 @@
 				delete(s.flows, flow)
 			}
 		}
-		if settled {
-			d.repeatSearches(now, s)
-		}
 		s.mu.Unlock()
 	}
 }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -176,7 +176,6 @@
 		searching    bool
 		inconclusive bool          // the search ended without proof that there is no owner
 		stages       []searchStage // stages of the search
-		packet       []byte        // the last packet of the caller during the search
 		round        uint8         // number of the flow's current search
 		searchedAt   time.Duration // when the search was started or repeated
 		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
@@ -346,7 +345,6 @@
 		d.deliver(s, rec, packet)
 		return
 	}
-	rec.packet = append(rec.packet[:0], packet...)
 	if rec.inconclusive {
 		d.startSearch(now, s, rec, h, packet)
 		return
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -1,24 +1,12 @@
 package director
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 )
 
-const (
-	// repeatInterval is the time after which an entry repeats a search without a
-	// result on its own: longer than searchRetryAfter, so that a caller's packet that
-	// comes in time repeats it first.
-	repeatInterval = 200 * time.Millisecond
-	// repeatWindow is the time since the caller's last packet in which it does so. It
-	// exceeds settleTime and allows for up to four repetitions.
-	repeatWindow = 800 * time.Millisecond
-)
-
 // startSearch discards the recorded owner and starts a search through the agents
 // that may own the flow.
 func (d *Director) startSearch(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
@@ -27,7 +15,6 @@
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
-	rec.packet = append(rec.packet[:0], packet...)
 	rec.stages = d.planSearch(now, h.Flow)
 	rec.round++
 	d.port.RecordDecision(Decision{Event: Searched, Flow: h.Flow})
@@ -79,27 +66,6 @@
 	return d.members.searchStages(now, d.holderServices(f), d.history.complete(), f.Hash())
 }
 
-// repeatSearches repeats the searches of a shard that have not found an owner, with the
-// caller's last packet. If the upstream has lost the flow, the caller waits for its reset,
-// and its retransmissions come ever later. The director must be settled: before, a search
-// cannot show that there is no owner.
-func (d *Director) repeatSearches(now time.Duration, s *shard) {
-	// Sorted, so that simulated runs are reproducible.
-	for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
-		rec := s.flows[flow]
-		if !rec.searching || now-rec.lastSeen > repeatWindow || now-rec.searchedAt < repeatInterval {
-			continue
-		}
-		h, err := d.codec.FromCaller(rec.packet)
-		if err != nil {
-			continue // unreachable: the packet was decoded when it arrived
-		}
-		lastSeen := rec.lastSeen
-		d.startSearch(now, s, rec, h, rec.packet)
-		rec.lastSeen = lastSeen // which counts the caller's packets only
-	}
-}
-
 // queryAll repeats a search that has not found the owner in time. It sends an owner
 // query to all agents that may own the flow at once, unless the rate limit forbids
 // it, and sends the packet through the stages of the search again.
