Reset lost flows again, and send fewer hello messages

On some entries the first three to eight resets of a batch arrive and none of the rest, on others all: the entries' links are full. They were full of hello messages. A starting entry asks all entries for all that they know every 50 ms, and sends a hello message with the list of entries to each of 136 agents for each of these replies.

Hypothesis: resets that are sent again after 0.2, 0.6 and 1.4 s reach the callers before their next request; without the herd fewer are lost at all.

Change: a flow that is known to be gone stays in the cache. Its reset is sent three more times, and a packet of it is reset without a search. A starting entry asks three others at a time, greets only agents that it has not heard, and replies to agents list the entries every 8 s instead of 2 s.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -33,6 +33,15 @@
 	// fullHelloEvery is how often a periodic hello message that requests no
 	// replies lists the live entries: every 8th time, once in 3.2 s.
 	fullHelloEvery = 8
+	// replyHelloEvery is the same for the hello messages that reply to one agent: every
+	// 4th, once in 8 s.
+	replyHelloEvery = 4
+	// repliesWanted is how many entries a starting entry asks at a time for what they
+	// know. Their replies list all entries and agents.
+	repliesWanted = 3
+	// introduceInterval is the least time between two hello messages to an agent of which
+	// the entry knows nothing but the address.
+	introduceInterval = 200 * time.Millisecond
 	// agentsOfPeerRetention is how long agents that only another entry has named count as
 	// registered: until the entries have written their list to a store that lost it, and
 	// stale reads return that list.
@@ -61,7 +70,7 @@
 	overloaded  atomic.Bool
 	lastPacket  atomic.Int64 // now() at the last packet of a caller
 	helloMu     sync.Mutex
-	helloSentAt map[peer.Addr]time.Duration // last reply to each agent's reports
+	agentHellos map[peer.Addr]agentHello
 	lastTick    time.Duration
 
 	// The following are used by discoverProcesses only.
@@ -76,7 +85,13 @@
 
 	putClient  *http.Client  // for calls to a collector, which the context bounds
 	askOffset  atomic.Uint32 // advances by maxEntriesAsked on each call of entriesToAsk
-	helloCount atomic.Uint32 // calls of sendHello that requested no replies
+	helloCount atomic.Uint32 // calls of sendHelloTo
+}
+
+// agentHello is the last hello message that an entry sent to an agent.
+type agentHello struct {
+	at    time.Duration
+	count int // of hello messages to the agent so far
 }
 
 // NewEntry returns an entry whose sockets are open. It returns an error if one
@@ -90,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), helloSentAt: make(map[peer.Addr]time.Duration), newerEra: make(chan struct{}, 1), putClient: &http.Client{}}
+	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: make(map[peer.Addr]agentHello), newerEra: make(chan struct{}, 1), putClient: &http.Client{}}
 	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain))
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
 	e.flowCollector = newFlowCollector(p)
@@ -136,7 +151,7 @@
 	}
 	e.log.Info("entry started") // before any line of the tasks: it marks where the lines of this process begin
 	ends := startTasks(taskCtx, tasks)
-	e.sendMessage(peer.Hello, e.helloMessage(true, true), e.entries.known(e.now())...)
+	e.sendHello()
 	var failure error
 	running := len(tasks)
 	select {
@@ -259,9 +274,9 @@
 }
 
 // handleReport records the report of an agent and, at most every
-// agentHelloInterval, replies with a hello message that lists the live entries. The
-// agent keeps sending reports to entries from which it receives hello messages, and
-// sends them to the listed ones, too.
+// agentHelloInterval, replies with a hello message, every replyHelloEvery-th of which
+// lists the live entries. The agent keeps sending reports to entries from which it
+// receives hello messages, and sends them to the listed ones, too.
 func (e *Entry) handleReport(from peer.Addr, b []byte) error {
 	var status peer.Status
 	if err := peer.DecodeMessage(b, &status); err != nil {
@@ -271,22 +286,45 @@
 	if e.director.HandleReport(now, from, status) {
 		e.log.Info("agent heard", zap.Stringer("agent", from), zap.String("service", status.Service), zap.String("upstream", status.Upstream))
 	}
+	if due, withEntries := e.agentHelloDue(now, from, agentHelloInterval); due {
+		e.sendMessage(peer.Hello, e.helloMessage(false, withEntries), from)
+	}
+	return nil
+}
+
+// agentHelloDue reports whether at least interval has passed since the last hello message to
+// an agent, and whether the one that the caller then sends is to list the live entries.
+func (e *Entry) agentHelloDue(now time.Duration, agent peer.Addr, interval time.Duration) (due, withEntries bool) {
 	e.helloMu.Lock()
-	sentAt, ok := e.helloSentAt[from]
-	due := !ok || now-sentAt >= agentHelloInterval
-	if due {
-		e.helloSentAt[from] = now
+	defer e.helloMu.Unlock()
+	last, ok := e.agentHellos[agent]
+	if ok && now-last.at < interval {
+		return false, false
 	}
-	e.helloMu.Unlock()
-	if due {
-		e.sendMessage(peer.Hello, e.helloMessage(false, true), from)
+	e.agentHellos[agent] = agentHello{at: now, count: last.count + 1}
+	return true, last.count%replyHelloEvery == 0
+}
+
+// introduce sends a hello message to the agents of a list that have not reported yet.
+func (e *Entry) introduce(agents []peer.Addr) {
+	now := e.now()
+	known := e.director.Agents()
+	var unknown []peer.Addr
+	for _, a := range agents {
+		if _, found := slices.BinarySearchFunc(known, a, func(x, y peer.Addr) int { return slices.Compare(x[:], y[:]) }); found {
+			continue
+		}
+		if due, _ := e.agentHelloDue(now, a, introduceInterval); due {
+			unknown = append(unknown, a)
+		}
+	}
+	if len(unknown) > 0 {
+		e.sendMessage(peer.Hello, e.helloMessage(false, true), unknown...)
 	}
-	return nil
 }
 
 // handleHello records the hello message of another entry. It sends hello
-// messages to the listed entries that were unknown and to all listed agents,
-// replies if the message requests it, and compares the configuration versions.
+// messages to the listed entries and agents that were unknown, replies if the message requests it, and compares the configuration versions.
 func (e *Entry) handleHello(from peer.Addr, b []byte) error {
 	var hello peer.HelloMessage
 	if err := peer.DecodeMessage(b, &hello); err != nil {
@@ -296,12 +334,8 @@
 	if e.entries.recordHello(now, from, hello) {
 		e.log.Info("entry heard", zap.Stringer("entry", from), zap.Uint64("config", hello.ConfigVersion))
 	}
-	if added := e.entries.add(now, e.withoutSelf(hello.Entries)...); len(added) > 0 {
-		e.sendMessage(peer.Hello, e.helloMessage(true, true), added...)
-	}
-	if len(hello.Agents) > 0 {
-		e.sendMessage(peer.Hello, e.helloMessage(false, true), hello.Agents...)
-	}
+	e.sendHelloTo(e.entries.add(now, e.withoutSelf(hello.Entries)...))
+	e.introduce(hello.Agents)
 	if hello.WantsReply {
 		reply := e.helloMessage(false, true)
 		reply.Agents = e.director.Agents()
@@ -361,13 +395,25 @@
 	return hello
 }
 
-// sendHello sends a hello message to the known entries. It requests replies
-// while the entry has no configuration or lacks reports of agents, and lists the
-// live entries then and in every fullHelloEvery-th other hello message.
-func (e *Entry) sendHello() {
-	wantsReply := e.director.Config() == nil || !e.director.Reachable(e.now())
-	withEntries := wantsReply || e.helloCount.Add(1)%fullHelloEvery == 0
-	e.sendMessage(peer.Hello, e.helloMessage(wantsReply, withEntries), e.entries.known(e.now())...)
+// sendHello sends a hello message to the known entries.
+func (e *Entry) sendHello() { e.sendHelloTo(e.entries.known(e.now())) }
+
+// sendHelloTo sends a hello message to other entries. While this entry has no configuration
+// or lacks reports of agents, it requests replies from a few of them, the next ones on each
+// call. Every fullHelloEvery-th other hello message lists the live entries.
+func (e *Entry) sendHelloTo(entries []peer.Addr) {
+	if len(entries) == 0 {
+		return
+	}
+	if e.director.Config() == nil || !e.director.Reachable(e.now()) {
+		first := int(e.askOffset.Add(repliesWanted)) % len(entries)
+		rotated := slices.Concat(entries[first:], entries[:first])
+		asked := rotated[:min(repliesWanted, len(rotated))]
+		e.sendMessage(peer.Hello, e.helloMessage(true, true), asked...)
+		entries = rotated[len(asked):]
+	}
+	withEntries := e.helloCount.Add(1)%fullHelloEvery == 0
+	e.sendMessage(peer.Hello, e.helloMessage(false, withEntries), entries...)
 }
 
 // configVersion returns the version of the configuration in force, nil before
@@ -449,10 +495,9 @@
 	if !first {
 		e.restoreMissing(r)
 	}
-	added := e.entries.add(e.now(), e.withoutSelf(r.entries)...)
-	e.sendMessage(peer.Hello, e.helloMessage(true, true), added...)
+	e.sendHelloTo(e.entries.add(e.now(), e.withoutSelf(r.entries)...))
 	if first {
-		e.sendMessage(peer.Hello, e.helloMessage(false, true), r.agents...)
+		e.introduce(r.agents)
 		sleep(ctx, peerAnswerTime-e.now())
 		e.agentsOfPeer, e.agentsOfPeerAt = e.fetchFromEarlierEntry(), e.now()
 	}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -67,7 +67,7 @@
 		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
 	rec.owner, rec.startID, rec.open, rec.searching = from, o.Start, true, false
-	rec.stages = nil
+	rec.stages, rec.gone = nil, nil
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -93,6 +93,10 @@
 // again, or drops it if its VIP has no route; for any other packet it starts a search.
 func (d *Director) handleReturnedDelivery(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
+	if rec != nil && rec.gone != nil && !h.Opens() {
+		d.resetGone(rec, h)
+		return
+	}
 	if rec != nil && !rec.searching && rec.owner != from {
 		d.deliver(s, rec, f.Packet) // another owner has been found in the meantime
 		return
@@ -116,7 +120,7 @@
 // inconclusive. It does not reply to a reset.
 func (d *Director) handleReturnedSearch(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec == nil {
+	if rec == nil || rec.gone != nil {
 		return // the flow has been reset, or its record has expired and the caller will retransmit
 	}
 	if !rec.searching {
@@ -147,7 +151,7 @@
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
 	isNew, restarted := d.members.update(now, from, status)
 	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.resetOtherStarts(from, start)
+		d.resetOtherStarts(now, from, start)
 	}
 	return isNew
 }
@@ -159,25 +163,17 @@
 	d.members.leave(now, from, restarting)
 }
 
-// resetOtherStarts removes the cached flows that belong to other known starts of the
-// owner's upstream than the given one; 0 means that no upstream runs. It resets those
-// for which an acknowledgement number is known.
-func (d *Director) resetOtherStarts(owner peer.Addr, start uint32) {
+// resetOtherStarts resets the cached flows that belong to other known starts of the owner's
+// upstream than the given one, see markGone; 0 means that no upstream runs.
+func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
 			rec := s.flows[flow]
-			if rec.owner != owner || rec.startID == 0 || rec.startID == start {
-				continue
-			}
-			delete(s.flows, flow)
-			// A caller ignores a reset whose sequence number it does not expect. A
-			// flow without an acknowledgement is reset when its next packet starts
-			// a search that finds no owner.
-			if rec.acknowledged != 0 {
-				d.reset(UpstreamGone, segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, 0)
+			if rec.owner == owner && rec.startID != 0 && rec.startID != start {
+				d.markGone(now, s, flow, rec)
 			}
 		}
 		s.mu.Unlock()
@@ -199,6 +195,7 @@
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
+		d.repeatResets(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
 				delete(s.flows, flow)
@@ -208,13 +205,17 @@
 	}
 }
 
-// Flows returns the number of cached flows.
+// Flows returns the number of cached flows, without those that are known to be gone.
 func (d *Director) Flows() int {
 	n := 0
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
-		n += len(s.flows)
+		for _, rec := range s.flows {
+			if rec.gone == nil {
+				n++
+			}
+		}
 		s.mu.Unlock()
 	}
 	return n
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -164,6 +164,8 @@
 		mu    sync.Mutex
 		flows map[segment.Flow]*flowRecord
 		buf   []byte // for encoding datagrams
+		// resets are the flows whose resets are sent again, see repeatResets.
+		resets []segment.Flow
 	}
 
 	// flowRecord is the cached state of a flow.
@@ -175,6 +177,7 @@
 		closed       bool           // the caller has sent Fin or Reset
 		searching    bool
 		inconclusive bool          // the search ended without proof that there is no owner
+		gone         *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
 		stages       []searchStage // stages of the search
 		round        uint8         // number of the flow's current search
 		searchedAt   time.Duration // when the search was started or repeated
@@ -338,6 +341,10 @@
 		return
 	}
 	rec.lastSeen = now
+	if rec.gone != nil {
+		d.resetGone(rec, h)
+		return
+	}
 	if h.Has(segment.Ack) {
 		rec.acknowledged = h.Acknowledged
 	}
--- /dev/null
+++ b/pkg/director/gone_test.go
@@ -0,0 +1,97 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+// goneSite is a director that has restored the flow of a caller after the return of all
+// power, and the agent of the flow's upstream, which has restarted, too.
+type goneSite struct {
+	*director.Director
+	flow   segment.Flow
+	owner  peer.Addr
+	resets int
+	sent   []peer.Addr // processes to which the director has sent datagrams
+}
+
+// newGoneSite returns a site at which the agent reports the new start of its upstream at
+// time.Second.
+func newGoneSite(acknowledged uint32) *goneSite {
+	s := &goneSite{flow: segment.NewFlow(vipAt(1), vipAt(2)), owner: peer.Addr{10, 0, 0, 3}}
+	s.Director = director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, resetCountingPort{recordingPort{&s.sent}, &s.resets})
+	s.SetConfig(manyConfig(1, time.Second, sameService))
+	s.RestoreFlows(0, []director.FlowSnapshot{{Flow: s.flow, Owner: s.owner, Service: peer.Service("maklerlink"), Start: peer.StartID("old", 1), Acknowledged: acknowledged}})
+	s.HandleReport(time.Second, s.owner, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "new", Born: 5, Taking: true, Slots: 2})
+	return s
+}
+
+// tickUntil ticks the director every 100 ms from 1 s on.
+func (s *goneSite) tickUntil(end time.Duration) {
+	const interval = 100 * time.Millisecond
+	for now := time.Second; now < end; now += interval {
+		s.Tick(now, interval)
+	}
+}
+
+// send sends a packet of the flow's caller to the director.
+func (s *goneSite) send(t *testing.T, now time.Duration, flags segment.Flags) {
+	t.Helper()
+	is.New(t).NoErr(s.HandleCallerPacket(now, platform.EncodePacket(segment.Header{Flow: s.flow, Flags: flags, Acknowledged: 9}, false)))
+}
+
+// TestResetOfGoneFlowIsSentAgain answers the return of all power: the links are full and
+// drop most of the resets that the entries send first. A caller that misses the reset
+// sends its next request, which is lost if it must not be repeated.
+func TestResetOfGoneFlowIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := newGoneSite(9)
+	is.Equal(s.resets, 1)
+	s.tickUntil(1200 * time.Millisecond)
+	is.Equal(s.resets, 1)
+	s.tickUntil(4 * time.Second)
+	is.Equal(s.resets, 4) // after 0.2, 0.6 and 1.4 s
+}
+
+// TestPacketOfGoneFlowIsResetWithoutSearch answers the same pattern: searches for hundreds of
+// flows that are known to be gone would visit all agents of their service.
+func TestPacketOfGoneFlowIsResetWithoutSearch(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		acknowledged uint32
+		flags        segment.Flags
+		want         int // resets
+	}{
+		{"request", 9, segment.Ack, 2},
+		{"request of a flow without an acknowledgement", 0, segment.Ack, 1},
+		{"reset of the caller", 9, segment.Reset, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newGoneSite(c.acknowledged)
+			s.send(t, 1100*time.Millisecond, c.flags)
+			is.Equal(s.resets, c.want)
+			is.Equal(len(s.sent), 0)
+			s.tickUntil(4 * time.Second)
+			is.Equal(s.resets, c.want) // the caller knows
+		})
+	}
+}
+
+// TestGoneFlowThatOpensAgainIsServed covers a caller that opens a flow from the same port.
+func TestGoneFlowThatOpensAgainIsServed(t *testing.T) {
+	is := is.New(t)
+	s := newGoneSite(9)
+	s.send(t, 1100*time.Millisecond, segment.Open)
+	is.Equal(s.sent, []peer.Addr{s.owner})
+	s.send(t, 1150*time.Millisecond, segment.Ack)
+	s.tickUntil(4 * time.Second)
+	is.Equal(s.resets, 1) // only the one of the flow before
+}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -70,7 +70,7 @@
 // dropped.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec == nil {
+	if rec == nil || rec.gone != nil {
 		rec = &flowRecord{}
 	}
 	if rec.open {
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -119,7 +119,7 @@
 	}
 	for _, a := range d.members.list() {
 		if start, known := d.members.upstreamStart(a); known {
-			d.resetOtherStarts(a, start)
+			d.resetOtherStarts(now, a, start)
 		}
 	}
 }
