Prefer the entry's own failure domain while it has free slots

Cause: five candidates are drawn from all agents with three times the weight for the own domain.

Hypothesis: with three local candidates, and others taken only if they have less than half of the flows per slot while one of the local ones has half of its slots free, fewer packets cross a boundary and no caller waits longer.

--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -21,14 +21,46 @@
 	}
 	usual := usualServiceTime(agents)
 	m.sortByRendezvous(agents, hash)
-	choices := agents[:min(openingChoices, len(agents))]
-	slices.SortStableFunc(choices, func(a, b *agent) int { return cmp.Compare(m.cost(now, a, usual), m.cost(now, b, usual)) })
+	choices := m.compared(agents)
+	m.sortByCost(now, choices, usual)
 	first := choices[0]
 	load, age := first.load(now), now-first.reportedAt
 	first.pending++
 	return addresses(choices), load, age
 }
 
+// sortByCost sorts agents by their cost, the lowest first. usual is their usual service time.
+func (m *members) sortByCost(now time.Duration, agents []*agent, usual float64) {
+	factor := otherDomainFactor
+	if slices.ContainsFunc(agents, func(a *agent) bool { return m.local(a) && a.halfFree() }) {
+		factor = idleDomainFactor
+	}
+	slices.SortStableFunc(agents, func(a, b *agent) int {
+		return cmp.Compare(m.cost(now, a, usual, factor), m.cost(now, b, usual, factor))
+	})
+}
+
+// compared returns up to openingChoices of the agents, which are in the rendezvous order of a
+// flow: localChoices of the entry's failure domain, and others of all domains.
+func (m *members) compared(agents []*agent) []*agent {
+	n := min(openingChoices, len(agents))
+	choices := make([]*agent, 0, n)
+	for _, a := range agents {
+		if m.local(a) && len(choices) < localChoices {
+			choices = append(choices, a)
+		}
+	}
+	for _, a := range agents {
+		if len(choices) < n && !slices.Contains(choices, a) {
+			choices = append(choices, a)
+		}
+	}
+	return choices
+}
+
+// local reports whether an agent is of the entry's failure domain.
+func (m *members) local(a *agent) bool { return a.status.FailureDomain == m.domain }
+
 // accepting returns the agents of a service that accept new flows. Those whose
 // upstreams fail are excluded unless fewer than half would remain: then it is
 // likelier that the failures have another cause, and the rest could not carry the
@@ -156,7 +188,7 @@
 func (m *members) sortByRendezvous(list []*agent, hash uint64) {
 	score := func(a *agent) float64 {
 		weight := uint32(1)
-		if a.status.FailureDomain == m.domain {
+		if m.local(a) {
 			weight = sameDomainWeight
 		}
 		return rendezvous.Score(hash, rendezvous.NewNode(a.address.ID(), weight))
@@ -177,19 +209,23 @@
 	return sum / float64(max(1, n))
 }
 
-// cost returns an agent's load, raised for an upstream that is slower than usual and for
-// an agent of another failure domain.
-func (m *members) cost(now time.Duration, a *agent, usual float64) float64 {
+// cost returns an agent's load, raised for an upstream that is slower than usual and, by the
+// factor and by otherDomainCost, for an agent of another failure domain.
+func (m *members) cost(now time.Duration, a *agent, usual, otherDomain float64) float64 {
 	load := a.load(now)
 	if usual > 0 && a.status.ServiceTime > 0 {
 		load *= float64(a.status.ServiceTime) / usual
 	}
-	if a.status.FailureDomain == m.domain {
+	if m.local(a) {
 		return load
 	}
-	return load*otherDomainFactor + otherDomainCost
+	return load*otherDomain + otherDomainCost
 }
 
+// halfFree reports whether at most half of the upstream's slots were in use at the last
+// report. Flows that were placed since count as requests.
+func (a *agent) halfFree() bool { return 2*(a.status.Running+a.pending) <= a.status.Slots }
+
 // load returns the agent's load in open flows per slot of its upstream. It includes
 // the pending flows, and counts each running request as runningWeight flows. A cold
 // upstream counts as having one more flow.
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -28,11 +28,13 @@
 	// pauseThreshold is a gap between ticks that shows that this process was
 	// paused. The caller of Tick must tick at least twice as often.
 	pauseThreshold = time.Second
-	// openingChoices is the number of agents that are compared for a new flow, the
-	// first in its rendezvous order.
+	// openingChoices is the number of agents that are compared for a new flow, and
+	// localChoices how many of them are of the entry's failure domain, if it has as many:
+	// the first of each kind in the flow's rendezvous order.
 	openingChoices = 5
+	localChoices   = 3
 	// sameDomainWeight is the rendezvous weight of an agent of the entry's failure domain.
-	// Others have weight 1, so that they are less likely to be compared for a flow.
+	// Others have weight 1, so that searches visit them later.
 	sameDomainWeight = 3
 	// otherDomainFactor and otherDomainCost raise the cost of an upstream in another
 	// failure domain: to be chosen it must be less loaded by a tenth and by one flow
@@ -40,6 +42,10 @@
 	// between domains.
 	otherDomainFactor = 1.1
 	otherDomainCost   = 0.33
+	// idleDomainFactor takes the place of otherDomainFactor while one of the compared
+	// upstreams of the own domain has half of its slots free, so that a flow would not
+	// wait there. It bounds how much busier than the others a domain may become.
+	idleDomainFactor = 2
 	// runningWeight is the number of open flows that one running request counts as.
 	runningWeight = 4
 )
