--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -78,7 +78,7 @@
 	agentsOfPeer   []peer.Addr // agents named by an entry that was started before
 	agentsOfPeerAt time.Duration
 	// registrationMissing and agentListMissing request that the key is written again.
-	registrationMissing atomic.Bool
+	registrationMissing chan struct{}
 	agentListMissing    atomic.Bool
 
 	newerEra chan struct{} // requests a check of the store's era
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: make(map[peer.Addr]agentHello), newerEra: make(chan struct{}, 1), putClient: &http.Client{}}
+	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: make(map[peer.Addr]agentHello), newerEra: make(chan struct{}, 1), registrationMissing: make(chan struct{}, 1), putClient: &http.Client{}}
 	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain))
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
 	e.flowCollector = newFlowCollector(p)
@@ -468,7 +468,10 @@
 // read lacks a recent write, that is repeated in vain.
 func (e *Entry) restoreMissing(r registry) {
 	if !slices.Contains(r.entries, e.self) {
-		e.registrationMissing.Store(true)
+		select {
+		case e.registrationMissing <- struct{}{}:
+		default: // a write is pending
+		}
 	}
 	if r.agents == nil {
 		e.agentListMissing.Store(true)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -97,11 +97,11 @@
 // ends, and then removes it.
 func (e *Entry) register(ctx context.Context) error {
 	var lease platform.Lease
-	lost := false
+	lost, missing := false, false
 	for ctx.Err() == nil {
 		var err error
 		era := e.eras.era()
-		lease, err = e.renew(ctx, lease, e.registrationMissing.Swap(false))
+		lease, err = e.renew(ctx, lease, missing)
 		if err != nil && !lost && ctx.Err() == nil {
 			e.log.Warn("registration not renewed", daemon.Err(err))
 		}
@@ -113,12 +113,32 @@
 		if lost {
 			pause = renewRetryDelay
 		}
-		e.sleepInEra(ctx, era, pause)
+		missing = e.awaitRenewal(ctx, era, pause)
 	}
 	e.unregister(lease)
 	return nil
 }
 
+// awaitRenewal waits for d, until the era ends and it is this entry's turn to write, or until
+// the registration turns out to be missing from the store. It reports whether it is missing.
+func (e *Entry) awaitRenewal(ctx, era context.Context, d time.Duration) (missing bool) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	woken := make(chan struct{})
+	go func() {
+		e.sleepInEra(waitCtx, era, d)
+		close(woken)
+	}()
+	select {
+	case <-e.registrationMissing:
+		cancel()
+		<-woken
+		return true
+	case <-woken:
+		return false
+	}
+}
+
 // unregister revokes the lease of the registration, if there is one.
 func (p *process) unregister(lease platform.Lease) {
 	if lease == (platform.Lease{}) {
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -28,7 +28,11 @@
 	// and the second that the routers take to remove an entry from rotation.
 	soakSettleTime = 8 * time.Second
 	soakQuietTime  = 5 * time.Second // after soakSettleTime, without lost requests
-	killTimeout    = 7 * time.Second // from SIGTERM to SIGKILL
+	maxDrillPause  = 4 * time.Second // between two returns of the store from an older copy
+	maxCopyAge     = 5 * time.Second
+	maxStoreAway   = 500 * time.Millisecond // before it comes back
+	operatorRepeat = 500 * time.Millisecond // at most, until the operator has written its configuration again
+	killTimeout    = 7 * time.Second        // from SIGTERM to SIGKILL
 )
 
 type (
@@ -39,6 +43,8 @@
 		Program string
 		// Duration is the time during which faults are injected.
 		Duration time.Duration
+		// Drills lets the store come back from an older copy at times.
+		Drills bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -97,7 +103,7 @@
 	if err := k.start(ctx); err != nil {
 		return Report{}, err
 	}
-	if err := k.injectFaults(ctx, c.Duration); err != nil {
+	if err := k.injectFaults(ctx, c); err != nil {
 		return Report{}, err
 	}
 	if err := sleep(ctx, soakSettleTime); err != nil {
@@ -121,12 +127,15 @@
 	return report, errors.Join(failure, err)
 }
 
-// injectFaults starts random faults for the duration d, some of which overlap,
+// injectFaults starts random faults for the duration in c, some of which overlap,
 // and waits for their end.
-func (k *soak) injectFaults(ctx context.Context, d time.Duration) error {
-	end := time.Now().Add(d)
+func (k *soak) injectFaults(ctx context.Context, c SoakConfig) error {
+	end := time.Now().Add(c.Duration)
 	var running sync.WaitGroup
 	defer running.Wait()
+	if c.Drills {
+		running.Go(func() { k.drillUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
+	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
 		k.printf("%s", name)
@@ -139,6 +148,26 @@
 	return nil
 }
 
+// drillUntil lets the store come back from an older copy every few seconds. The operator
+// writes its configuration again each time.
+func (k *soak) drillUntil(end time.Time, random *rand.Rand) {
+	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	for time.Now().Before(end) {
+		time.Sleep(below(maxDrillPause))
+		config, _ := k.site.store.Get(platform.ConfigKey)
+		age := below(maxCopyAge)
+		name := fmt.Sprintf("the store comes back from a copy %s old", age)
+		k.printf("%s", name)
+		k.timeline.addFault(name)
+		k.site.store.SetFault(kvstandin.ResetConnections)
+		time.Sleep(below(maxStoreAway))
+		k.site.store.RestoreCopy(age)
+		k.site.store.SetFault(kvstandin.Healthy)
+		time.Sleep(below(operatorRepeat))
+		k.site.store.Set(platform.ConfigKey, config)
+	}
+}
+
 // randomFault returns the description of a random fault and the function that
 // injects it and returns after its end. The number in the description of a fault
 // of the store or of a proxy is the kvstandin.Fault or proxyFault.
