--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -116,13 +116,13 @@
 	return failure
 }
 
-// stop resets the flows of an upstream that has deregistered, sends goodbye
-// messages to the entries, and closes the sockets. Unless the upstream has
-// deregistered, the goodbye message announces that the agent will be restarted.
+// stop sends goodbye messages to the entries, resets the flows of an upstream that has
+// deregistered, returns the openings that wait, and closes the sockets. Unless the upstream
+// has deregistered, the goodbye message announces that the agent will be restarted.
 func (a *Agent) stop() {
 	a.stopping.Store(true)
-	a.relay.Stop(a.now())
 	a.sendMessage(peer.Goodbye, peer.GoodbyeMessage{Restarting: !a.relay.Deregistered()}, a.entries.known(a.now())...)
+	a.relay.Stop(a.now())
 	time.Sleep(closeDelay)
 	if err := errors.Join(a.peerConn.Close(), a.upstreamConn.Close()); err != nil {
 		a.log.Warn("sockets not closed", daemon.Err(err))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"encoding"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/netip"
 	"os"
 	"reflect"
@@ -232,30 +233,30 @@
 }
 
 // decode decodes JSON into v, a pointer to a struct. Unknown keys and trailing data are
-// errors, except for data that begins with a closing brace or bracket.
+// errors.
 func decode(b []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return decodeError(err, findInvalidKey(b, reflect.TypeOf(v).Elem(), ""))
 	}
-	if d.More() {
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return &InvalidError{key: "(file)", problem: "unexpected data after the settings"}
 	}
 	return nil
 }
 
-// decodeError converts an error of package json to an InvalidError. key is used if the
-// error does not name the key itself; "" stands for the whole file. The path in an error
-// of package json has no indexes and contains the names of embedded structs.
+// decodeError converts an error of package json about the value of a key to an InvalidError;
+// "" stands for the whole file. The key that package json itself names has no indexes and
+// contains the names of embedded structs.
 func decodeError(err error, key string) error {
-	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
-		return &InvalidError{key: typeErr.Field, problem: "want " + typeErr.Type.String() + ", got " + typeErr.Value}
-	}
 	if key == "" {
 		key = "(file)"
 	}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &InvalidError{key: key, problem: "want " + typeErr.Type.String() + ", got " + typeErr.Value}
+	}
 	return &InvalidError{key: key, problem: err.Error()}
 }
 
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -334,11 +334,10 @@
 // search, see queryAll. After an inconclusive search it starts another one.
 func (d *Director) handleEstablished(now time.Duration, s *shard, h segment.Header, packet []byte) {
 	rec := s.flows[h.Flow]
-	if rec == nil {
+	isNew := rec == nil
+	if isNew {
 		rec = &flowRecord{created: now}
 		s.flows[h.Flow] = rec
-		d.startSearch(now, s, rec, h, packet)
-		return
 	}
 	rec.lastSeen = now
 	if rec.gone != nil {
@@ -351,11 +350,11 @@
 	if h.Has(segment.Fin) || h.Has(segment.Reset) {
 		rec.closed = true
 	}
-	if !rec.searching {
+	if !isNew && !rec.searching {
 		d.deliver(s, rec, packet)
 		return
 	}
-	if rec.inconclusive {
+	if isNew || rec.inconclusive {
 		d.startSearch(now, s, rec, h, packet)
 		return
 	}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -65,8 +65,8 @@
 }
 
 // handleReturnedOpening handles an opening that none of its candidates accepted: it is
-// offered in the next stage that has candidates. After the last one the flow is reset. A
-// copy of the opening that is returned after an agent has accepted another one is
+// offered in the next stage that has candidates. After the last one the flow is reset. An
+// opening that waited at an agent that stops is placed again. A copy of the opening that is returned after an agent has accepted another one is
 // dropped.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
@@ -76,6 +76,13 @@
 	if rec.open {
 		return
 	}
+	if f.Stage == waitingStage && !d.members.usable(now, rec.owner) {
+		// The agent beside which the opening waited is stopping.
+		if r, ok := d.config.Load().Lookup(h.Flow.VIP()); ok {
+			d.placeFlow(now, s, h, r, f.Packet)
+		}
+		return
+	}
 	rec.waitingPlace.consider(f)
 	for stage := f.Stage + 1; stage < endOfStages; stage++ {
 		next := d.openingStage(now, stage, rec, f, h)
--- a/pkg/director/returned_test.go
+++ b/pkg/director/returned_test.go
@@ -105,3 +105,60 @@
 	is.Equal(resets, 1)
 	is.Equal(d.Flows(), 0)
 }
+
+// TestWaitingOpeningOfStoppingAgentIsPlacedAgain answers a rolling restart: the agent beside
+// which an opening waits stops and returns it. The caller must not be refused, as another
+// upstream may accept the flow.
+func TestWaitingOpeningOfStoppingAgentIsPlacedAgain(t *testing.T) {
+	const waitingStage = 3
+	for _, c := range []struct {
+		name    string
+		stopped bool
+		resets  int
+	}{
+		{"it stops", true, 0},
+		{"the patience is over", false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var sent []peer.Addr
+			resets := 0
+			d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, resetCountingPort{recordingPort{&sent}, &resets})
+			d.SetConfig(manyConfig(1, time.Second, sameService))
+			agent, other := peer.Addr{10, 0, 0, 3}, peer.Addr{10, 0, 0, 4}
+			for _, a := range []peer.Addr{agent, other} {
+				d.HandleReport(time.Second, a, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Taking: true, Slots: 2})
+			}
+			flow := segment.NewFlow(vipAt(1), vipAt(2))
+			opening := platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Open}, false)
+			is.NoErr(d.HandleCallerPacket(time.Second, opening))
+			is.NoErr(d.HandleAgentDatagram(time.Second, agent, peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Waiting: true}.Append(nil)))
+			if c.stopped {
+				d.HandleGoodbye(time.Second, agent, true)
+			}
+			sent = nil
+			f := peer.Frame{
+				Kind: peer.Returned, OriginalKind: peer.Place, Entry: peer.Addr{10, 0, 0, 1}, Service: peer.Service("maklerlink"),
+				Candidates: []peer.Addr{agent}, Hop: 1, Stage: waitingStage, Packet: opening,
+			}
+			is.NoErr(d.HandleAgentDatagram(time.Second, agent, f.Append(nil)))
+			is.Equal(resets, c.resets)
+			if c.stopped {
+				is.Equal(sent, []peer.Addr{other})
+			}
+		})
+	}
+}
+
+// TestFlowWhoseFirstPacketClosesItIsForgotten covers a late Fin of a flow that the entry does
+// not know: its record must not stay for the idle timeout.
+func TestFlowWhoseFirstPacketClosesItIsForgotten(t *testing.T) {
+	is := is.New(t)
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, recordingPort{new([]peer.Addr)})
+	d.SetConfig(manyConfig(1, time.Second, sameService))
+	flow := segment.NewFlow(vipAt(1), vipAt(2))
+	is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Fin | segment.Ack}, false)))
+	is.Equal(d.Flows(), 1)
+	d.Tick(7*time.Second, 0)
+	is.Equal(d.Flows(), 0)
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -101,7 +101,7 @@
 // of the upstream.
 //
 //	heartbeat ID SEQUENCE [draining] [born N] [age MILLISECONDS]   from the upstream
-//	deregister ID | ended | tick SECONDS | wait MILLISECONDS | assume-ready
+//	deregister ID | ended | stop | tick SECONDS | wait MILLISECONDS | assume-ready
 //	place N [best I LOAD] [forced] [patience MILLISECONDS] [priority P] [service NAME] [last]
 //	                                 an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME] [last]   a packet of caller N
@@ -165,6 +165,8 @@
 		r.relay.HandleHeartbeat(r.now, u)
 	case "deregister":
 		r.relay.HandleDeregistration(r.now, words[1])
+	case "stop":
+		r.relay.Stop(r.now)
 	case "ended":
 		r.relay.MarkEnded(r.now)
 	case "assume-ready":
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -51,6 +51,10 @@
 		r.openFlows++
 	}
 	s.lastSeen, s.upstreamSeen = now, now
+	if s.phase == offered && s.opening != nil && h.Has(segment.Reset) {
+		r.close(now, s) // the upstream has refused the flow
+		return
+	}
 	if h.Has(segment.Open) {
 		s.firstSequence, s.firstKnown = h.Sequence, true
 		if s.acknowledged == 0 {
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -109,14 +109,18 @@
 	r.serveWaiting(now)
 }
 
-// Stop resets the flows of the upstream if it has deregistered. It is to be called
-// before the agent itself stops.
+// Stop resets the flows of the upstream if it has deregistered, and returns the openings that
+// wait for it to their entries. It is to be called before the agent itself stops, after its
+// goodbye message, so that the entries place these openings elsewhere. Later openings are
+// forwarded.
 func (r *Relay) Stop(now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deregistered {
 		r.resetAll(now)
 	}
+	r.alive = false
+	r.serveWaiting(now)
 }
 
 // Deregistered reports whether the upstream has deregistered since its last
--- a/pkg/rendezvous/table.go
+++ b/pkg/rendezvous/table.go
@@ -110,9 +110,12 @@
 
 // Top writes the identifiers of the members with the highest scores for key into
 // dst, highest first, and returns the number written: the minimum of len(dst), Len
-// and MaxTop. dst must not be empty unless the table is.
+// and MaxTop.
 func (t *Table) Top(key uint64, dst []uint64) int {
 	want := min(len(dst), t.size, MaxTop)
+	if want == 0 {
+		return 0
+	}
 	var best [MaxTop]scoredNode
 	found := 0
 	for i := range t.groups {
--- a/pkg/rendezvous/table_test.go
+++ b/pkg/rendezvous/table_test.go
@@ -46,6 +46,7 @@
 			n := table.Top(key*7919, got[:])
 			is.Equal(n, min(size, 4))
 			is.True(slices.Equal(got[:n], fullSort(ns, key*7919)[:n]))
+			is.Equal(table.Top(key*7919, nil), 0)
 		}
 	}
 }
