Split the hello messages and the discovery from the entry's file

The saved flows stay with the collector that works within its term, and a collector that is unreachable leaves time for the entry's own write.

--- /dev/null
+++ b/internal/fleet/discover.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/peer"
+)
+
+const (
+	// unsettledReadInterval is the pause between reads of the registrations
+	// while the entry is not settled, for example because a registered agent has
+	// not sent a report.
+	unsettledReadInterval = time.Second
+	// discoverInterval is how often an entry reads the registrations, as processes
+	// announce themselves by messages.
+	discoverInterval = 10 * time.Second
+	// agentsOfPeerRetention is how long agents that only another entry has named count as
+	// registered: until the entries have written their list to a store that lost it, and
+	// stale reads return that list.
+	agentsOfPeerRetention = 10 * time.Second
+)
+
+// discovery is the state of discoverProcesses.
+type discovery struct {
+	registryRead   bool
+	agentsOfPeer   []peer.Addr // agents named by an entry that was started before
+	agentsOfPeerAt time.Duration
+}
+
+// discoverProcesses reads the registrations in the store: at the start, every
+// unsettledReadInterval while the entry is not settled, and every
+// discoverInterval after that. When the store does not answer, it requests the
+// registrations from other entries unless it has them, and reads again after retryDelay.
+func (e *Entry) discoverProcesses(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := discoverInterval
+		if err := e.discoverOnce(ctx); err != nil {
+			e.log.Warn("registrations not read", daemon.Err(err))
+			e.fetchRegistrations()
+			pause = retryDelay
+		} else if !e.director.Settled(e.now()) {
+			pause = unsettledReadInterval
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// restoreMissing requests new writes of the keys that the store no longer has. If a stale
+// read lacks a recent write, that is repeated in vain.
+func (e *Entry) restoreMissing(r registry) {
+	if !slices.Contains(r.entries, e.self) {
+		select {
+		case e.registrationMissing <- struct{}{}:
+		default: // a write is pending
+		}
+	}
+	if r.agents == nil {
+		e.agentListMissing.Store(true)
+	}
+	if r.holders == nil {
+		e.config.requestHoldersWrite()
+	}
+}
+
+// discoverOnce reads the registrations once and sends hello messages to new
+// entries. The first read must not be stale; it also merges the flow holders
+// and sends hello messages to the registered agents. As the store may have come back from
+// an older copy, it is completed from an entry that was started before.
+func (e *Entry) discoverOnce(ctx context.Context) error {
+	first := !e.discovery.registryRead
+	r, err := e.readRegistry(ctx, !first)
+	if err != nil {
+		return err
+	}
+	e.discovery.registryRead = true
+	if first {
+		e.config.mergeHolders(r.holders)
+	}
+	if !first {
+		e.restoreMissing(r)
+	}
+	e.sendHelloTo(e.entries.add(e.now(), e.withoutSelf(r.entries)...))
+	if first {
+		e.introduce(r.agents)
+		sleep(ctx, peerAnswerTime-e.now())
+		e.discovery.agentsOfPeer, e.discovery.agentsOfPeerAt = e.fetchFromEarlierEntry(), e.now()
+	}
+	if e.now()-e.discovery.agentsOfPeerAt < agentsOfPeerRetention {
+		r.agents = append(r.agents, e.discovery.agentsOfPeer...)
+	}
+	e.director.SetRegistered(e.now(), r.agents)
+	return nil
+}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,38 +18,9 @@
 )
 
 const (
-	// agentHelloInterval is the least time between two hello messages with which
-	// an entry replies to the reports of one agent.
-	agentHelloInterval = 2 * time.Second
-	// neverVerified is the age in a hello message of a configuration that was
-	// never confirmed as the newest.
-	neverVerified = -1
-	// unsettledReadInterval is the pause between reads of the registrations
-	// while the entry is not settled, for example because a registered agent has
-	// not sent a report.
-	unsettledReadInterval = time.Second
-	// fullHelloEvery is how often a periodic hello message that requests no
-	// replies lists the live entries: every 8th time, once in 3.2 s.
-	fullHelloEvery = 8
-	// replyHelloEvery is the same for the hello messages that reply to one agent: every
-	// 4th, once in 8 s.
-	replyHelloEvery = 4
-	// repliesWanted is how many entries a starting entry asks at a time for what they
-	// know. Their replies list all entries and agents.
-	repliesWanted = 3
-	// introduceInterval is the least time between two hello messages to an agent of which
-	// the entry knows nothing but the address.
-	introduceInterval = 200 * time.Millisecond
-	// agentsOfPeerRetention is how long agents that only another entry has named count as
-	// registered: until the entries have written their list to a store that lost it, and
-	// stale reads return that list.
-	agentsOfPeerRetention = 10 * time.Second
 	// maxDecisionFields is the largest number of fields in the log line of a
 	// decision.
 	maxDecisionFields = 6
-	// maxAgentsPerHello bounds the agents listed in the reply to an entry, so
-	// that the datagram stays below 1,400 bytes.
-	maxAgentsPerHello = 200
 )
 
 // Entry is a balancer process.
@@ -69,14 +38,10 @@
 	// receives.
 	overloaded  atomic.Bool
 	lastPacket  atomic.Int64 // now() at the last packet of a caller
-	helloMu     sync.Mutex
-	agentHellos map[peer.Addr]agentHello
+	agentHellos *agentHellos
 	lastTick    time.Duration
 
-	// The following are used by discoverProcesses only.
-	registryRead   bool
-	agentsOfPeer   []peer.Addr // agents named by an entry that was started before
-	agentsOfPeerAt time.Duration
+	discovery discovery // used by discoverProcesses only
 	// registrationMissing and agentListMissing request that the key is written again.
 	registrationMissing chan struct{}
 	agentListMissing    atomic.Bool
@@ -88,12 +53,6 @@
 	helloCount atomic.Uint32 // calls of sendHelloTo
 }
 
-// agentHello is the last hello message that an entry sent to an agent.
-type agentHello struct {
-	at    time.Duration
-	count int // of hello messages to the agent so far
-}
-
 // NewEntry returns an entry whose sockets are open. It returns an error if one
 // cannot be opened.
 func NewEntry(s *platform.Settings, log *zap.Logger, options ...Option) (*Entry, error) {
@@ -105,7 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: make(map[peer.Addr]agentHello), newerEra: make(chan struct{}, 1), registrationMissing: make(chan struct{}, 1), putClient: &http.Client{}}
+	e := &Entry{
+		process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: newAgentHellos(),
+		newerEra: make(chan struct{}, 1), registrationMissing: make(chan struct{}, 1), putClient: &http.Client{},
+	}
 	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain))
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
 	e.flowCollector = newFlowCollector(p)
@@ -273,93 +235,6 @@
 	}
 }
 
-// handleReport records the report of an agent and, at most every
-// agentHelloInterval, replies with a hello message, every replyHelloEvery-th of which
-// lists the live entries. The agent keeps sending reports to entries from which it
-// receives hello messages, and sends them to the listed ones, too.
-func (e *Entry) handleReport(from peer.Addr, b []byte) error {
-	var status peer.Status
-	if err := peer.DecodeMessage(b, &status); err != nil {
-		return err
-	}
-	now := e.now()
-	if e.director.HandleReport(now, from, status) {
-		e.log.Info("agent heard", zap.Stringer("agent", from), zap.String("service", status.Service), zap.String("upstream", status.Upstream))
-	}
-	if due, withEntries := e.agentHelloDue(now, from, agentHelloInterval); due {
-		e.sendMessage(peer.Hello, e.helloMessage(false, withEntries), from)
-	}
-	return nil
-}
-
-// agentHelloDue reports whether at least interval has passed since the last hello message to
-// an agent, and whether the one that the caller then sends is to list the live entries.
-func (e *Entry) agentHelloDue(now time.Duration, agent peer.Addr, interval time.Duration) (due, withEntries bool) {
-	e.helloMu.Lock()
-	defer e.helloMu.Unlock()
-	last, ok := e.agentHellos[agent]
-	if ok && now-last.at < interval {
-		return false, false
-	}
-	e.agentHellos[agent] = agentHello{at: now, count: last.count + 1}
-	return true, last.count%replyHelloEvery == 0
-}
-
-// introduce sends a hello message to the agents of a list that have not reported yet.
-func (e *Entry) introduce(agents []peer.Addr) {
-	now := e.now()
-	known := e.director.Agents()
-	var unknown []peer.Addr
-	for _, a := range agents {
-		if _, found := slices.BinarySearchFunc(known, a, func(x, y peer.Addr) int { return slices.Compare(x[:], y[:]) }); found {
-			continue
-		}
-		if due, _ := e.agentHelloDue(now, a, introduceInterval); due {
-			unknown = append(unknown, a)
-		}
-	}
-	if len(unknown) > 0 {
-		e.sendMessage(peer.Hello, e.helloMessage(false, true), unknown...)
-	}
-}
-
-// handleHello records the hello message of another entry. It sends hello
-// messages to the listed entries and agents that were unknown, replies if the message requests it, and compares the configuration versions.
-func (e *Entry) handleHello(from peer.Addr, b []byte) error {
-	var hello peer.HelloMessage
-	if err := peer.DecodeMessage(b, &hello); err != nil {
-		return err
-	}
-	now := e.now()
-	if e.entries.recordHello(now, from, hello) {
-		e.log.Info("entry heard", zap.Stringer("entry", from), zap.Uint64("config", hello.ConfigVersion))
-	}
-	e.sendHelloTo(e.entries.add(now, e.withoutSelf(hello.Entries)...))
-	e.introduce(hello.Agents)
-	if hello.WantsReply {
-		reply := e.helloMessage(false, true)
-		reply.Agents = e.director.Agents()
-		if len(reply.Agents) > maxAgentsPerHello {
-			reply.Agents = reply.Agents[:maxAgentsPerHello]
-		}
-		e.sendMessage(peer.Hello, reply, from)
-	}
-	e.requestEraCheck(hello.StoreEra)
-	e.config.handleHello(from, hello)
-	return nil
-}
-
-// withoutSelf returns the addresses in a list other than that of this entry.
-func (e *Entry) withoutSelf(list []peer.Addr) []peer.Addr {
-	var out []peer.Addr
-	for _, a := range list {
-		if a != e.self {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // handleGoodbye handles the goodbye message of an entry or an agent: it marks the
 // sender as stopped if it is a known entry, and passes the message to the director,
 // which ignores a sender that is not a known agent.
@@ -369,53 +244,12 @@
 		return err
 	}
 	e.entries.markStopped(from)
+	e.agentHellos.forget(from)
 	e.director.HandleGoodbye(e.now(), from, goodbye.Restarting)
 	e.log.Info("process stops", zap.Stringer("process", from), zap.Bool("returns", goodbye.Restarting))
 	return nil
 }
 
-// helloMessage returns a hello message with the state of this entry. wantsReply
-// requests a reply; withEntries includes the live entries, which most hello
-// messages omit as they change rarely.
-func (e *Entry) helloMessage(wantsReply, withEntries bool) peer.HelloMessage {
-	now := e.now()
-	hello := peer.HelloMessage{
-		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain, Ready: e.ready(), VerifiedAgo: neverVerified,
-		StoreEra: e.store.Era(),
-	}
-	if withEntries {
-		hello.Entries = e.entries.alive(now)
-	}
-	if c := e.director.Config(); c != nil {
-		hello.ConfigVersion = c.Version()
-	}
-	if ago, ok := e.director.VerifiedAgo(now); ok {
-		hello.VerifiedAgo = ago.Milliseconds()
-	}
-	return hello
-}
-
-// sendHello sends a hello message to the known entries.
-func (e *Entry) sendHello() { e.sendHelloTo(e.entries.known(e.now())) }
-
-// sendHelloTo sends a hello message to other entries. While this entry has no configuration
-// or lacks reports of agents, it requests replies from a few of them, the next ones on each
-// call. Every fullHelloEvery-th other hello message lists the live entries.
-func (e *Entry) sendHelloTo(entries []peer.Addr) {
-	if len(entries) == 0 {
-		return
-	}
-	if e.director.Config() == nil || !e.director.Reachable(e.now()) {
-		first := int(e.askOffset.Add(repliesWanted)) % len(entries)
-		rotated := slices.Concat(entries[first:], entries[:first])
-		asked := rotated[:min(repliesWanted, len(rotated))]
-		e.sendMessage(peer.Hello, e.helloMessage(true, true), asked...)
-		entries = rotated[len(asked):]
-	}
-	withEntries := e.helloCount.Add(1)%fullHelloEvery == 0
-	e.sendMessage(peer.Hello, e.helloMessage(false, withEntries), entries...)
-}
-
 // configVersion returns the version of the configuration in force, nil before
 // the first.
 func (e *Entry) configVersion() any {
@@ -425,11 +259,6 @@
 	return nil
 }
 
-// sendHelloToAlive sends a hello message to the live entries.
-func (e *Entry) sendHelloToAlive() {
-	e.sendMessage(peer.Hello, e.helloMessage(false, false), e.entries.alive(e.now())...)
-}
-
 // tick runs the periodic work of the director and the overload check. The
 // director is given the time since the last tick, so that it can discount a
 // pause of this process.
@@ -444,69 +273,3 @@
 // needsFastStart reports whether the entry is not ready, or was started less than
 // a quarter of fastStartPeriod ago.
 func (e *Entry) needsFastStart() bool { return !e.ready() || e.now() < fastStartPeriod/4 }
-
-// discoverProcesses reads the registrations in the store: at the start, every
-// unsettledReadInterval while the entry is not settled, and every
-// discoverInterval after that. When the store does not answer, it requests the registrations from other entries
-// unless it has them, and reads again after retryDelay.
-func (e *Entry) discoverProcesses(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause := discoverInterval
-		if err := e.discoverOnce(ctx); err != nil {
-			e.log.Warn("registrations not read", daemon.Err(err))
-			e.fetchRegistrations()
-			pause = retryDelay
-		} else if !e.director.Settled(e.now()) {
-			pause = unsettledReadInterval
-		}
-		sleep(ctx, pause)
-	}
-	return nil
-}
-
-// restoreMissing requests new writes of the keys that the store no longer has. If a stale
-// read lacks a recent write, that is repeated in vain.
-func (e *Entry) restoreMissing(r registry) {
-	if !slices.Contains(r.entries, e.self) {
-		select {
-		case e.registrationMissing <- struct{}{}:
-		default: // a write is pending
-		}
-	}
-	if r.agents == nil {
-		e.agentListMissing.Store(true)
-	}
-	if r.holders == nil {
-		e.config.requestHoldersWrite()
-	}
-}
-
-// discoverOnce reads the registrations once and sends hello messages to new
-// entries. The first read must not be stale; it also merges the flow holders
-// and sends hello messages to the registered agents. As the store may have come back from
-// an older copy, it is completed from an entry that was started before.
-func (e *Entry) discoverOnce(ctx context.Context) error {
-	first := !e.registryRead
-	r, err := e.readRegistry(ctx, !first)
-	if err != nil {
-		return err
-	}
-	e.registryRead = true
-	if first {
-		e.config.mergeHolders(r.holders)
-	}
-	if !first {
-		e.restoreMissing(r)
-	}
-	e.sendHelloTo(e.entries.add(e.now(), e.withoutSelf(r.entries)...))
-	if first {
-		e.introduce(r.agents)
-		sleep(ctx, peerAnswerTime-e.now())
-		e.agentsOfPeer, e.agentsOfPeerAt = e.fetchFromEarlierEntry(), e.now()
-	}
-	if e.now()-e.agentsOfPeerAt < agentsOfPeerRetention {
-		r.agents = append(r.agents, e.agentsOfPeer...)
-	}
-	e.director.SetRegistered(e.now(), r.agents)
-	return nil
-}
--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -158,19 +158,23 @@
 	return sorted[attempt%min(collectorCount, len(sorted))]
 }
 
+// collectorTermAt returns the number of the term at a time of day. Entries whose clocks differ
+// may use different collectors for a while.
+func collectorTermAt(t time.Time) uint64 { return uint64(t.Unix() / int64(collectorTerm.Seconds())) }
+
 // storeFlows writes the encoded flows of this entry to the store through the collector of
 // its failure domain, and by itself if it does not reach that one. It returns the era of the
 // store in which they were written at the latest, and errStoreUnavailable if the store does
 // not answer the collector.
-func (e *Entry) storeFlows(ctx context.Context, value []byte, attempt int) (era uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
-	defer cancel()
+func (e *Entry) storeFlows(ctx context.Context, value []byte, term uint64, attempt int) (era uint64, err error) {
 	candidates := append(e.entries.aliveIn(e.now(), e.settings.FailureDomain), e.self)
-	collector := chooseCollector(candidates, uint64(time.Now().Unix()/int64(collectorTerm.Seconds())), attempt)
+	collector := chooseCollector(candidates, term, attempt)
 	if collector == e.self {
 		return e.flowCollector.add(ctx, e.self, value)
 	}
-	if era, err = e.putFlows(ctx, collector, value); err == nil || errors.Is(err, errStoreUnavailable) {
+	putCtx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	if era, err = e.putFlows(putCtx, collector, value); err == nil || errors.Is(err, errStoreUnavailable) {
 		return era, err
 	}
 	e.log.Info("flows not taken by collector, writing them directly", zap.Stringer("entry", collector), daemon.Err(err))
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -28,10 +28,6 @@
 	// store's return.
 	renewRetryDelay = 500 * time.Millisecond
 
-	// discoverInterval is how often an entry reads the registrations, as processes
-	// announce themselves by messages.
-	discoverInterval = 10 * time.Second
-
 	// unregisterTimeout bounds the last call of an entry to the store.
 	unregisterTimeout = 100 * time.Millisecond
 
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -39,6 +39,14 @@
 	flowsPrefix = "hickoryhook-flows/"
 )
 
+// savedFlows is what an entry knows of its flows in the store.
+type savedFlows struct {
+	flows    []director.FlowSnapshot
+	era      uint64 // of the store, in which they were written at the latest
+	term     uint64 // of the collector that was tried last
+	failures int    // in that term
+}
+
 // flowGroup holds the saved flows of one VIP and service at one start of an
 // upstream. Owner is the upstream's agent, Start the start ID, see peer.StartID.
 // Callers is a sequence of records of callerRecordBytes.
@@ -58,34 +66,47 @@
 	if err := e.restoreFlows(ctx); err != nil {
 		e.log.Warn("flows not recalled", daemon.Err(err))
 	}
-	var written []director.FlowSnapshot
-	var writtenIn uint64 // era of the store
-	failures := 0
+	var saved savedFlows
 	for ctx.Err() == nil {
-		size := 0
-		begin, currentEra := e.now(), e.eras.era()
-		if writtenIn < e.store.Era() {
-			written = nil
-		}
-		flows := e.director.SnapshotFlows(e.now(), maxSavedFlows)
-		if director.SnapshotOutdated(written, flows) {
-			value, err := encodeFlows(flows)
-			if err != nil {
-				return err
-			}
-			size = len(value)
-			if era, err := e.storeFlows(ctx, value, failures); err != nil {
-				e.metrics.increment("store-errors")
-				failures++
-			} else {
-				written, writtenIn = flows, era
-			}
+		begin, era := e.now(), e.eras.era()
+		size, err := e.saveChangedFlows(ctx, &saved)
+		if err != nil {
+			return err
 		}
-		e.sleepInEra(ctx, currentEra, flowsPause(size)-(e.now()-begin))
+		e.sleepInEra(ctx, era, flowsPause(size)-(e.now()-begin))
 	}
 	return nil
 }
 
+// saveChangedFlows writes the entry's flows to the store if they differ from the saved ones
+// or if the store may have lost these. It returns the size of what it tried to write, and an
+// error if the flows cannot be encoded.
+func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows) (size int, err error) {
+	if saved.era < e.store.Era() {
+		saved.flows = nil
+	}
+	flows := e.director.SnapshotFlows(e.now(), maxSavedFlows)
+	if !director.SnapshotOutdated(saved.flows, flows) {
+		return 0, nil
+	}
+	value, err := encodeFlows(flows)
+	if err != nil {
+		return 0, err
+	}
+	term := collectorTermAt(time.Now())
+	if term != saved.term {
+		saved.term, saved.failures = term, 0
+	}
+	era, err := e.storeFlows(ctx, value, term, saved.failures)
+	if err != nil {
+		e.metrics.increment("store-errors")
+		saved.failures++
+		return len(value), nil
+	}
+	saved.flows, saved.era = flows, era
+	return len(value), nil
+}
+
 // flowsPause returns the time from a write of saved flows of a size in bytes to the next.
 func flowsPause(size int) time.Duration {
 	return max(flowsWriteInterval, time.Duration(size+putOverhead)*time.Second/flowsBytesPerSecond+time.Nanosecond)
