--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -414,6 +414,20 @@
 	})
 }
 
+// domainCount returns the number of failure domains of the live entries and of own.
+func (s *entrySet) domainCount(now time.Duration, own string) int {
+	alive := s.alive(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	domains := map[string]bool{own: true}
+	for _, a := range alive {
+		if e, ok := s.byAddr[a]; ok {
+			domains[e.domain] = true
+		}
+	}
+	return len(domains)
+}
+
 // neighbours returns the state of the other entries of a failure domain.
 func (s *entrySet) neighbours(domain string) []neighbour {
 	s.mu.Lock()
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -29,6 +29,9 @@
 	// budget for control traffic. putOverhead is the size of the headers of one write.
 	flowsBytesPerSecond = 3 << 10
 	putOverhead         = 250
+	// flowsWriteShare is the part of the store's rate of writes that the collectors of
+	// all failure domains together may use.
+	flowsWriteShare = 1.0 / 200
 
 	// callerRecordBytes is the size of one flow in a group: the caller's address
 	// and port, and the sequence number that the caller acknowledged last.
@@ -73,7 +76,8 @@
 		if err != nil {
 			return err
 		}
-		e.sleepInEra(ctx, era, flowsPause(size)-(e.now()-begin))
+		pause := flowsPause(size, e.entries.domainCount(begin, e.settings.FailureDomain), e.settings.StoreWritesPerSecond)
+		e.sleepInEra(ctx, era, pause-(e.now()-begin))
 	}
 	return nil
 }
@@ -107,9 +111,15 @@
 	return len(value), nil
 }
 
-// flowsPause returns the time from a write of saved flows of a size in bytes to the next.
-func flowsPause(size int) time.Duration {
-	return max(flowsWriteInterval, time.Duration(size+putOverhead)*time.Second/flowsBytesPerSecond+time.Nanosecond)
+// flowsPause returns the time from a write of saved flows of a size in bytes to the next, in a
+// fleet of so many failure domains at a store that accepts writesPerSecond; 0 stands for no
+// limit.
+func flowsPause(size, domains int, writesPerSecond float64) time.Duration {
+	pause := max(flowsWriteInterval, time.Duration(size+putOverhead)*time.Second/flowsBytesPerSecond+time.Nanosecond)
+	if writesPerSecond > 0 {
+		pause = max(pause, time.Duration(float64(domains)/(writesPerSecond*flowsWriteShare)*float64(time.Second)))
+	}
+	return pause
 }
 
 // restoreFlows passes the flows that this entry saved before its restart to the
--- a/internal/fleet/saved_flows_test.go
+++ b/internal/fleet/saved_flows_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -28,7 +29,7 @@
 	b, err := encodeFlows(flows)
 	is.NoErr(err)
 	// the budget for control traffic is 3 KB a second
-	is.True(float64(len(b)+putOverhead) <= 3*1024*flowsPause(len(b)).Seconds())
+	is.True(float64(len(b)+putOverhead) <= 3*1024*flowsPause(len(b), 1, 0).Seconds())
 	got, err := decodeFlows(b)
 	is.NoErr(err)
 	is.Equal(len(got), len(flows))
@@ -42,3 +43,24 @@
 	_, err = decodeFlows([]byte("of another writer"))
 	is.True(err != nil)
 }
+
+// TestPauseBetweenSavedFlows covers the interval at which flows are saved: as short as the
+// store and the budget for control traffic allow.
+func TestPauseBetweenSavedFlows(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		size, domains   int
+		writesPerSecond float64
+		want            time.Duration
+	}{
+		{"few flows", 500, 1, 0, flowsWriteInterval},
+		{"five domains at a fast store", 500, 5, 3200, flowsWriteInterval},
+		{"five domains", 500, 5, 1200, 833333333},
+		{"three domains at a slow store", 500, 3, 400, 1500 * time.Millisecond},
+		{"many flows", 3072*2 - putOverhead, 3, 1200, 2*time.Second + time.Nanosecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(flowsPause(c.size, c.domains, c.writesPerSecond), c.want)
+		})
+	}
+}
