--- a/internal/fleet/flow_collector_test.go
+++ b/internal/fleet/flow_collector_test.go
@@ -1,12 +1,18 @@
 package fleet
 
 import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/platform"
 )
 
 // TestCollectorOfTerm covers the choice of the entry that writes the saved flows of its
@@ -54,3 +60,52 @@
 		})
 	}
 }
+
+// TestCollectorWritesFlowsOfManyEntriesAtOnce covers the calls to the store of a large fleet:
+// they must not grow with the number of entries. If the store fails, each entry must know.
+func TestCollectorWritesFlowsOfManyEntriesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entries int
+		fault   kvstandin.Fault
+		calls   int
+	}{
+		{"a domain", 14, kvstandin.Healthy, 1},
+		{"more than fit into a transaction", maxTxnWrites + 8, kvstandin.Healthy, 2},
+		{"the store rejects calls", 14, kvstandin.Busy, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			standIn := kvstandin.New()
+			server := httptest.NewServer(standIn)
+			defer server.Close()
+			store := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+			collector := newFlowCollector(&process{store: store})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- collector.run(ctx) }()
+
+			standIn.SetFault(c.fault)
+			entries := testAddrs(c.entries)
+			results := make(chan error, len(entries))
+			for _, e := range entries {
+				go func() {
+					_, err := collector.add(ctx, e, []byte("flows of "+e.String()))
+					results <- err
+				}()
+			}
+			for range entries {
+				is.Equal(<-results != nil, c.fault != kvstandin.Healthy)
+			}
+			is.Equal(standIn.Calls()["kv-txn"], c.calls)
+			for _, e := range entries {
+				_, found := standIn.Get(flowsPrefix + e.String())
+				is.Equal(found, c.fault == kvstandin.Healthy)
+			}
+			cancel()
+			is.NoErr(<-ended)
+		})
+	}
+}
