--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -19,11 +19,13 @@
 	alive        bool
 	stopping     bool
 	paused       bool
-	inRotation   bool          // the routers send packets to it
-	failedProbes int           // in a row
-	oldConfig    int           // probes in a row at which the entry had an old configuration
-	startedAt    time.Duration // since the start of the simulation
-	lastTick     time.Duration // since the start of the simulation
+	inRotation   bool                  // the routers send packets to it
+	failedProbes int                   // in a row
+	oldConfig    int                   // probes in a row at which the entry had an old configuration
+	startedAt    time.Duration         // since the start of the simulation
+	replying     bool                  // the entry handles a packet of a caller
+	resets       map[segment.Flow]bool // flows that the entry has reset without a packet of them
+	lastTick     time.Duration         // since the start of the simulation
 }
 
 func (w *World) addEntry() *Entry {
@@ -42,6 +44,7 @@
 	e.generation++
 	generation := e.generation
 	e.alive, e.stopping = true, false
+	e.resets = make(map[segment.Flow]bool)
 	e.lastTick, e.startedAt = w.now(), w.now()
 	stored := w.read()
 	e.director = director.New(e.address, w.codec, e)
@@ -138,6 +141,8 @@
 // lost if the entry is not up.
 func (e *Entry) handleCallerPacket(packet []byte) {
 	if e.up() {
+		e.replying = true
+		defer func() { e.replying = false }()
 		if err := e.director.HandleCallerPacket(e.world.now(), packet); err != nil {
 			e.world.count("malformed")
 		}
@@ -178,7 +183,17 @@
 
 // ToCaller implements director.Port.
 func (e *Entry) ToCaller(flow segment.Flow, packet []byte) {
-	e.world.sendToCaller(flow, packet)
+	w := e.world
+	if !e.replying {
+		if w.without[MechanismRepeatedResets] && e.resets[flow] {
+			return
+		}
+		e.resets[flow] = true
+	}
+	if w.callerLoss > 0 && w.random.Float64() < w.callerLoss {
+		return
+	}
+	w.sendToCaller(flow, packet)
 }
 
 // RecordLatency implements director.Port.
--- a/internal/fleetsim/load.go
+++ b/internal/fleetsim/load.go
@@ -38,6 +38,8 @@
 	MechanismOverflow = "overflow"
 	// MechanismSnapshots is that entries store their open flows.
 	MechanismSnapshots = "snapshots"
+	// MechanismRepeatedResets is that entries send the reset of a lost flow several times.
+	MechanismRepeatedResets = "repeated-resets"
 )
 
 type (
@@ -98,7 +100,7 @@
 
 // Mechanisms returns the names that WithoutMechanism knows.
 func Mechanisms() []string {
-	return []string{MechanismWaiting, MechanismPriority, MechanismOverflow, MechanismSnapshots}
+	return []string{MechanismWaiting, MechanismPriority, MechanismOverflow, MechanismSnapshots, MechanismRepeatedResets}
 }
 
 // WithoutMechanism switches off a mechanism, to find out what it is worth.
--- a/internal/fleetsim/pattern.go
+++ b/internal/fleetsim/pattern.go
@@ -81,8 +81,9 @@
 	}
 
 	// Event is something that happens after At: "power-off" of all instances for the
-	// time For, a "burst" of requests by Factor, or upstreams of a Service that are
-	// "slow" by Factor, the first Count.
+	// time For, a "burst" of requests by Factor, upstreams of a Service that are "slow" by
+	// Factor, the first Count, or "full-links" of the entries, on which the share Factor
+	// of their packets to callers is lost.
 	Event struct {
 		At      Milliseconds `json:"at-ms"`
 		What    string       `json:"what"`
@@ -176,7 +177,7 @@
 		}
 	}
 	for _, e := range p.Events {
-		if !slices.Contains([]string{"power-off", "burst", "slow"}, e.What) {
+		if !slices.Contains([]string{"power-off", "burst", "slow", "full-links"}, e.What) {
 			return nil, errors.Errorf("pattern: unknown event %q", e.What)
 		}
 	}
@@ -247,6 +248,9 @@
 	switch e.What {
 	case "power-off":
 		w.After(e.At.Duration(), func() { w.PowerCycle(e.For.Duration()) })
+	case "full-links":
+		w.After(e.At.Duration(), func() { w.callerLoss = e.Factor })
+		w.After((e.At + e.For).Duration(), func() { w.callerLoss = 0 })
 	case "slow":
 		instances := w.Instances(e.Service)
 		instances = instances[:min(e.Count, len(instances))]
--- a/internal/fleetsim/pattern_test.go
+++ b/internal/fleetsim/pattern_test.go
@@ -65,6 +65,7 @@
 		{"overflow-after-power-loss", fleetsim.MechanismOverflow, "watch"},
 		{"burst", fleetsim.MechanismPriority, "finding"},
 		{"return-after-power-loss", fleetsim.MechanismSnapshots, "finding"},
+		{"return-with-full-links", fleetsim.MechanismRepeatedResets, "finding"},
 	} {
 		t.Run(c.pattern+" "+c.mechanism, func(t *testing.T) {
 			t.Parallel()
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -60,6 +60,7 @@
 		*vtime.Loop
 		random         *rand.Rand // of delays, losses and choices
 		loss           float64    // probability per datagram between processes
+		callerLoss     float64    // probability per packet from an entry to a caller
 		trace          io.Writer
 		codec          platform.PacketCodec
 		start          time.Time
