--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -51,9 +51,9 @@
 // entry would take the older keys for complete.
 func TestKeysReturnInNewEra(t *testing.T) {
 	for n, c := range []struct {
-		name   string
-		away   time.Duration
-		drills int
+		name     string
+		away     time.Duration
+		restores int
 	}{
 		{"at once", 0, 1},
 		{"after a moment away", 300 * time.Millisecond, 1},
@@ -64,7 +64,7 @@
 			s := newTestSite(t, byte(83+n))
 			s.putConfig(5, vipText)
 			s.startPair()
-			for range c.drills {
+			for range c.restores {
 				s.store.SetFault(kvstandin.ResetConnections)
 				time.Sleep(c.away)
 				s.store.RestoreCopy(time.Minute)
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -26,13 +26,13 @@
 	// soakSettleTime is how long after the last fault requests may still be lost.
 	// It covers the longest pause of a process, the longest timeout of a caller,
 	// and the second that the routers take to remove an entry from rotation.
-	soakSettleTime = 8 * time.Second
-	soakQuietTime  = 5 * time.Second // after soakSettleTime, without lost requests
-	maxDrillPause  = 4 * time.Second // between two returns of the store from an older copy
-	maxCopyAge     = 5 * time.Second
-	maxStoreAway   = 500 * time.Millisecond // before it comes back
-	operatorRepeat = 500 * time.Millisecond // at most, until the operator has written its configuration again
-	killTimeout    = 7 * time.Second        // from SIGTERM to SIGKILL
+	soakSettleTime  = 8 * time.Second
+	soakQuietTime   = 5 * time.Second // after soakSettleTime, without lost requests
+	maxRestorePause = 4 * time.Second // between two returns of the store from an older copy
+	maxCopyAge      = 5 * time.Second
+	maxStoreAway    = 500 * time.Millisecond // before it comes back
+	operatorRepeat  = 500 * time.Millisecond // at most, until the operator has written its configuration again
+	killTimeout     = 7 * time.Second        // from SIGTERM to SIGKILL
 )
 
 type (
@@ -43,8 +43,8 @@
 		Program string
 		// Duration is the time during which faults are injected.
 		Duration time.Duration
-		// Drills lets the store come back from an older copy at times.
-		Drills bool
+		// StoreRestores lets the store come back from an older copy at times.
+		StoreRestores bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -133,8 +133,8 @@
 	end := time.Now().Add(c.Duration)
 	var running sync.WaitGroup
 	defer running.Wait()
-	if c.Drills {
-		running.Go(func() { k.drillUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
+	if c.StoreRestores {
+		running.Go(func() { k.restoreStoreUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
 	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
@@ -148,12 +148,12 @@
 	return nil
 }
 
-// drillUntil lets the store come back from an older copy every few seconds. The operator
+// restoreStoreUntil lets the store come back from an older copy every few seconds. The operator
 // writes its configuration again each time.
-func (k *soak) drillUntil(end time.Time, random *rand.Rand) {
+func (k *soak) restoreStoreUntil(end time.Time, random *rand.Rand) {
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	for time.Now().Before(end) {
-		time.Sleep(below(maxDrillPause))
+		time.Sleep(below(maxRestorePause))
 		config, _ := k.site.store.Get(platform.ConfigKey)
 		age := below(maxCopyAge)
 		name := fmt.Sprintf("the store comes back from a copy %s old", age)
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -46,7 +46,7 @@
 	e.alive, e.stopping = true, false
 	e.resets = make(map[segment.Flow]bool)
 	e.lastTick, e.startedAt = w.now(), w.now()
-	stored := w.read()
+	stored := w.readStore()
 	e.director = director.New(e.address, w.codec, e)
 	e.director.MergeHolders(stored.holders)
 	e.director.SetConfig(stored.config)
@@ -77,7 +77,7 @@
 	})
 	w.Every(peerAnswerTime, registryPollInterval, func() bool {
 		if running() && !e.paused {
-			stored := w.read()
+			stored := w.readStore()
 			e.director.SetRegistered(w.now(), append(slices.Clone(stored.registered), agents...))
 			if stored.config.Version() == e.director.Config().Version() {
 				e.director.MarkVerified(w.now())
--- a/internal/fleetsim/random_test.go
+++ b/internal/fleetsim/random_test.go
@@ -24,15 +24,15 @@
 	}
 }
 
-// TestInvariantsHoldWhileStoreComesBackFromOlderCopies adds drills to the disturbances of
+// TestInvariantsHoldWhileStoreComesBackFromOlderCopies adds restores of the store to the disturbances of
 // fixed seeds.
 func TestInvariantsHoldWhileStoreComesBackFromOlderCopies(t *testing.T) {
 	for seed := uint64(1); seed <= randomSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r := fleetsim.RunRandom(seed, fleetsim.WithDrills(seed))
+			r := fleetsim.RunRandom(seed, fleetsim.WithStoreRestores(seed))
 			checkResult(t, r)
-			is.New(t).True(r.Counts["drills"] > 0)
+			is.New(t).True(r.Counts["store-restores"] > 0)
 		})
 	}
 }
--- a/internal/fleetsim/drill.go
+++ b/internal/fleetsim/store_restore.go
@@ -14,7 +14,7 @@
 const (
 	storeCopyInterval = 250 * time.Millisecond  // between two copies of the store
 	maxCopyAge        = 5 * time.Second         // of the copy from which the store comes back
-	maxDrillPause     = 6 * time.Second         // between two drills
+	maxRestorePause   = 6 * time.Second         // between two restores
 	operatorRepeat    = 500 * time.Millisecond  // at most, until the operator has written its configuration again
 	keysRepeat        = 1800 * time.Millisecond // at most, until the entries have written their keys again
 	peerAnswerTime    = 300 * time.Millisecond  // after which a starting entry asks another one
@@ -32,50 +32,50 @@
 		snapshots  map[peer.Addr][]director.FlowSnapshot
 	}
 
-	// drills are the returns of the store from an older copy.
-	drills struct {
+	// storeRestores are the returns of the store from an older copy.
+	storeRestores struct {
 		random *rand.Rand     // apart from that of the world, so that seeds keep their meaning
 		copies []storeContent // the newest first
 		lost   *storeContent  // what the store has in place of its newest content, nil if nothing is lost
-		number int            // of drills so far
+		number int            // of restores so far
 	}
 )
 
-// WithDrills lets the store come back from a copy of up to maxCopyAge every few seconds. The
+// WithStoreRestores lets the store come back from a copy of up to maxCopyAge every few seconds. The
 // operator and the entries that know what was lost write it again.
-func WithDrills(seed uint64) Option {
+func WithStoreRestores(seed uint64) Option {
 	return func(w *World) {
-		w.drills.random = rand.New(rand.NewPCG(seed, 1))
+		w.restores.random = rand.New(rand.NewPCG(seed, 1))
 		w.Every(0, storeCopyInterval, func() bool {
-			w.drills.copies = append([]storeContent{w.read()}, w.drills.copies[:min(len(w.drills.copies), int(maxCopyAge/storeCopyInterval))]...)
+			w.restores.copies = append([]storeContent{w.readStore()}, w.restores.copies[:min(len(w.restores.copies), int(maxCopyAge/storeCopyInterval))]...)
 			return true
 		})
-		w.scheduleDrill()
+		w.scheduleRestore()
 	}
 }
 
-// read returns what an entry that starts now reads from the store.
-func (w *World) read() storeContent {
-	if w.drills.lost != nil {
-		return *w.drills.lost
+// readStore returns what an entry that starts now reads from the store.
+func (w *World) readStore() storeContent {
+	if w.restores.lost != nil {
+		return *w.restores.lost
 	}
 	holders := maps.Clone(w.holders)
 	return storeContent{config: w.config(), holders: holders, registered: w.registered(), snapshots: maps.Clone(w.snapshots)}
 }
 
-// scheduleDrill schedules the next drill.
-func (w *World) scheduleDrill() {
-	w.After(time.Duration(w.drills.random.Int64N(int64(maxDrillPause))), func() {
-		w.drill()
-		w.scheduleDrill()
+// scheduleRestore schedules the next restore of the store.
+func (w *World) scheduleRestore() {
+	w.After(time.Duration(w.restores.random.Int64N(int64(maxRestorePause))), func() {
+		w.restoreStore()
+		w.scheduleRestore()
 	})
 }
 
-// drill replaces the content of the store by an older copy until it is written again. The
+// restoreStore replaces the content of the store by an older copy until it is written again. The
 // keys of the entries are lost for good if no entry keeps running until then.
-func (w *World) drill() {
-	d := &w.drills
-	w.count("drills")
+func (w *World) restoreStore() {
+	d := &w.restores
+	w.count("store-restores")
 	d.number++
 	number := d.number
 	lost := d.copies[d.random.IntN(len(d.copies))]
@@ -95,7 +95,7 @@
 	})
 	w.After(time.Duration(d.random.Int64N(int64(keysRepeat))), func() {
 		if number != d.number {
-			return // another drill has begun
+			return // the store has been restored again
 		}
 		for _, runs := range running {
 			if runs() {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -81,7 +81,7 @@
 		startSpread    time.Duration // see WithStartSpread
 		nodes          map[peer.Addr]node
 		snapshots      map[peer.Addr][]director.FlowSnapshot // the flow snapshot that each entry stored last
-		drills         drills
+		restores       storeRestores
 		counts         map[string]int
 		heldAtFailure  int     // flows of the first upstream that failed, when it began to
 		addressCount   uint32  // addresses assigned so far
@@ -319,8 +319,8 @@
 			}
 		}
 	})
-	if w.drills.lost != nil {
-		w.drills.lost.config = config
+	if w.restores.lost != nil {
+		w.restores.lost.config = config
 	}
 	w.deliverConfig()
 	w.After(configApplyTime, func() { w.appliedVersion = config.Version() })
--- a/internal/verb/bench_fleet.go
+++ b/internal/verb/bench_fleet.go
@@ -24,7 +24,7 @@
   -seeds N   number of seeds (default 20)
   -loss P    share of datagrams between instances lost during the whole run
              (default 0)
-  -drills    lets the store come back from an older copy every few seconds
+  -store-restores  lets the store come back from an older copy every few seconds
   -departures N   instead runs a small simulation (two entries, three upstreams,
              one flow) with every combination of at most N departures from the
              undisturbed run: 2 takes half a minute, 3 some minutes
@@ -34,13 +34,13 @@
 `
 
 type benchFleetRunner struct {
-	streams ioStreams
-	first   uint64
-	seeds   int
-	loss    float64
-	drills  bool
-	trace   bool
-	json    bool
+	streams       ioStreams
+	first         uint64
+	seeds         int
+	loss          float64
+	storeRestores bool
+	trace         bool
+	json          bool
 	// departures is the largest number of departures from the undisturbed run, or
 	// 0 for random runs.
 	departures int
@@ -62,7 +62,7 @@
 	flags.Uint64Var(&r.first, "first", 1, "")
 	flags.IntVar(&r.seeds, "seeds", 20, "")
 	flags.Float64Var(&r.loss, "loss", 0, "")
-	flags.BoolVar(&r.drills, "drills", false, "")
+	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
 	flags.IntVar(&r.departures, "departures", 0, "")
 	flags.StringVar(&r.replay, "replay", "", "")
 	flags.BoolVar(&r.trace, "trace", false, "")
@@ -94,8 +94,8 @@
 		if r.trace {
 			options = append(options, fleetsim.WithTrace(r.streams.stderr))
 		}
-		if r.drills {
-			options = append(options, fleetsim.WithDrills(r.first+uint64(i)))
+		if r.storeRestores {
+			options = append(options, fleetsim.WithStoreRestores(r.first+uint64(i)))
 		}
 		result := fleetsim.RunRandom(r.first+uint64(i), options...)
 		passed := true
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -24,7 +24,7 @@
 
   -seed N        random seed, which fixes the order of the faults (default 1)
   -for D         how long faults are injected (default 20s)
-  -drills        lets the store come back from an older copy every few seconds
+  -store-restores  lets the store come back from an older copy every few seconds
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
@@ -34,15 +34,15 @@
 `
 
 type platformSoakRunner struct {
-	streams   ioStreams
-	seed      uint64
-	duration  time.Duration
-	drills    bool
-	callers   int
-	network   int
-	entries   int
-	upstreams int
-	report    string
+	streams       ioStreams
+	seed          uint64
+	duration      time.Duration
+	storeRestores bool
+	callers       int
+	network       int
+	entries       int
+	upstreams     int
+	report        string
 }
 
 func parsePlatformSoak(args []string, streams ioStreams) (runner, error) {
@@ -50,7 +50,7 @@
 	flags := newFlags("platform soak")
 	flags.Uint64Var(&r.seed, "seed", 1, "")
 	flags.DurationVar(&r.duration, "for", 20*time.Second, "")
-	flags.BoolVar(&r.drills, "drills", false, "")
+	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
@@ -90,7 +90,7 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, Drills: r.drills, HTMLReport: page,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
