--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -71,6 +71,27 @@
 		StoreEra uint64 `cbor:"9,keyasint,omitempty"`
 		// WantsReply asks the receiver to reply with Entries and Agents.
 		WantsReply bool `cbor:"5,keyasint,omitempty"`
+		// Evacuation is the newest set of evacuated failure domains that the sender
+		// knows, nil before the first.
+		Evacuation *Evacuation `cbor:"10,keyasint,omitempty"`
+		// ColdRates is the number of openings a second that a cold upstream of each
+		// service bears. Services without a limit are left out.
+		ColdRates map[string]float64 `cbor:"11,keyasint,omitempty"`
+		// LinkRate is the capacity of the entry's link in bytes a second, 0 if unknown.
+		LinkRate float64 `cbor:"12,keyasint,omitempty"`
+		// CallerRate is the number of bytes a second that callers send to the entry.
+		CallerRate float64 `cbor:"13,keyasint,omitempty"`
+	}
+
+	// Evacuation is a set of evacuated failure domains. Sets are ordered by the point in
+	// the history of the platform's store at which they were in force: by era, then by
+	// revision.
+	Evacuation struct {
+		// Era and Revision are those of the store.
+		Era      uint64 `cbor:"1,keyasint"`
+		Revision uint64 `cbor:"2,keyasint"`
+		// Domains are the evacuated failure domains, in alphabetical order.
+		Domains []string `cbor:"3,keyasint,omitempty"`
 	}
 
 	// GoodbyeMessage is sent by a process before it stops.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -40,10 +40,24 @@
 		Idempotent bool
 	}
 
+	// Service holds what the configuration says about the upstreams of a service.
+	Service struct {
+		// Name is the name of the service.
+		Name string
+		// ColdStart is how long an upstream is cold after its start.
+		ColdStart time.Duration
+		// ColdRate is how many requests a second a cold upstream bears, 0 if this is not
+		// limited.
+		ColdRate float64
+		// HealthPath is the path of the upstreams' health check, empty if not known.
+		HealthPath string
+	}
+
 	// Config is one version of the configuration. It is immutable.
 	Config struct {
 		version     uint64
 		routes      map[netip.AddrPort]Route
+		services    map[string]Service
 		idleTimeout time.Duration
 	}
 
@@ -55,10 +69,19 @@
 // remove a flow from its state.
 func WithIdleTimeout(d time.Duration) Option { return func(c *Config) { c.idleTimeout = d } }
 
+// WithServices sets what is known about services.
+func WithServices(services ...Service) Option {
+	return func(c *Config) {
+		for _, s := range services {
+			c.services[s.Name] = s
+		}
+	}
+}
+
 // New returns a configuration. If several routes have the same VIP, the last one
 // applies.
 func New(version uint64, routes []Route, options ...Option) *Config {
-	c := &Config{version: version, routes: make(map[netip.AddrPort]Route, len(routes))}
+	c := &Config{version: version, routes: make(map[netip.AddrPort]Route, len(routes)), services: make(map[string]Service)}
 	for _, r := range routes {
 		c.routes[r.VIP] = r
 	}
@@ -84,6 +107,24 @@
 	return r, ok
 }
 
+// Service returns what is known about a service, and false if nothing is.
+func (c *Config) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// ColdRates returns the number of requests a second that a cold upstream bears, by
+// service. Services without a limit are left out.
+func (c *Config) ColdRates() map[string]float64 {
+	rates := make(map[string]float64)
+	for name, s := range c.services {
+		if s.ColdRate > 0 {
+			rates[name] = s.ColdRate
+		}
+	}
+	return rates
+}
+
 // Each calls f for each route, in no particular order.
 func (c *Config) Each(f func(Route)) {
 	for _, r := range c.routes {
