--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -61,15 +61,15 @@
 // local reports whether an agent is of the entry's failure domain.
 func (m *members) local(a *agent) bool { return a.status.FailureDomain == m.domain }
 
-// accepting returns the agents of a service that accept new flows. Those whose
-// upstreams fail are excluded unless fewer than half would remain: then it is
+// accepting returns the agents of a service that accept new flows and are not in an
+// evacuated failure domain. Those whose upstreams fail are excluded unless fewer than half would remain: then it is
 // likelier that the failures have another cause, and the rest could not carry the
 // load.
 func (m *members) accepting(now time.Duration, service peer.ServiceID) []*agent {
 	var out, failing []*agent
 	for _, a := range m.byService[service] {
 		switch {
-		case !a.status.Taking || a.leaving || now-a.reportedAt > suspectAfter:
+		case !a.status.Taking || a.leaving || now-a.reportedAt > suspectAfter || m.evacuated[a.status.FailureDomain]:
 		case a.status.Failing:
 			failing = append(failing, a)
 		default:
@@ -83,14 +83,17 @@
 }
 
 // untried returns up to peer.MaxCandidates agents of a service that are not among
-// those tried, have reported recently and are not about to stop. It includes those
-// whose last report does not allow new flows.
+// those tried, have reported recently, are not about to stop and are not in an evacuated
+// failure domain. It includes those whose last report does not allow new flows.
 func (m *members) untried(now time.Duration, service peer.ServiceID, tried []peer.Addr) []peer.Addr {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var out []peer.Addr
 	for _, a := range m.byService[service] {
-		if !slices.Contains(tried, a.address) && !a.leaving && now-a.reportedAt <= suspectAfter && len(out) < peer.MaxCandidates {
+		if a.leaving || now-a.reportedAt > suspectAfter || m.evacuated[a.status.FailureDomain] {
+			continue
+		}
+		if !slices.Contains(tried, a.address) && len(out) < peer.MaxCandidates {
 			out = append(out, a.address)
 		}
 	}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -234,6 +234,10 @@
 // earlier or another process. Settled returns false before the first call.
 func (d *Director) MergeHolders(holders map[netip.AddrPort][]string) { d.history.merge(holders) }
 
+// SetEvacuated sets the failure domains whose agents get no new flows. Open flows stay
+// where they are.
+func (d *Director) SetEvacuated(domains []string) { d.members.setEvacuated(domains) }
+
 // SetRegistered sets the agents that are registered. Settled returns false until
 // each of them has reported or its registeredWait has ended, and as long as more than
 // half of them are missing.
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -60,6 +60,7 @@
 		pausedAt   time.Duration               // when this process was last paused or delayed
 		registered map[peer.Addr]time.Duration // when each registered agent was first listed, nil if unknown
 		departed   map[peer.Addr]departure
+		evacuated  map[string]bool // failure domains whose agents get no new flows
 	}
 
 	// departure records an agent that has stopped for good. Reports that it sent
@@ -184,6 +185,16 @@
 	}
 }
 
+// setEvacuated replaces the set of evacuated failure domains.
+func (m *members) setEvacuated(domains []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evacuated = make(map[string]bool, len(domains))
+	for _, d := range domains {
+		m.evacuated[d] = true
+	}
+}
+
 // tick removes agents without a report for evictAfter, and records of departures that
 // are older. After a pause of this process, which shows in the time since the last
 // tick, all agents count as having just reported, as reports may have been missed.
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -79,7 +79,7 @@
 // offered regardless of ejection if the upstream has room, and else may wait for it if
 // the frame allows that.
 func (r *Relay) admit(now time.Duration, f *peer.Frame) verdict {
-	if f.Service != r.service || !r.alive || r.upstream.Draining {
+	if f.Service != r.service || !r.acceptsFlows() {
 		return forwardOpening
 	}
 	if f.Forced {
@@ -131,7 +131,7 @@
 // upstream accepts no flows any more.
 func (r *Relay) serveWaiting(now time.Duration) {
 	expired := r.waiting.Expired(now)
-	if !r.alive || r.upstream.Draining {
+	if !r.acceptsFlows() {
 		expired = append(expired, r.waiting.Clear()...)
 	}
 	for _, w := range expired {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -129,6 +129,7 @@
 		ended           bool // the upstream's process has ended, and with it all its flows
 		deregisteredAt  time.Duration
 		deregistered    bool           // since the last heartbeat
+		evacuated       bool           // the failure domain of the agent gets no new flows
 		openFlows       int            // flows in phase accepted
 		activeFlows     int            // at the last Tick: open flows with a caller's packet within activeWindow
 		load            admission.Load // of the upstream
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// SetEvacuated records whether the failure domain of the agent is evacuated: then no
+// opening is offered to the upstream, and those that wait return to their entries. It
+// reports whether the agent should send its status to other processes at once.
+func (r *Relay) SetEvacuated(now time.Duration, evacuated bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.evacuated != evacuated
+	r.evacuated = evacuated
+	if changed {
+		r.serveWaiting(now)
+	}
+	return changed
+}
+
+// acceptsFlows reports whether the upstream runs, is not draining and is not in an
+// evacuated failure domain.
+func (r *Relay) acceptsFlows() bool { return r.alive && !r.upstream.Draining && !r.evacuated }
+
 // Tick removes flows without packets: accepted ones after the lifetime, the others
 // after closedRetention at the latest. It resets the upstream's flows
 // deregistrationGrace after its deregistration. It stops counting requests without an
@@ -139,7 +157,7 @@
 	return peer.Status{
 		Upstream:    r.upstream.ID,
 		Born:        r.upstream.Born,
-		Taking:      r.alive && !r.upstream.Draining,
+		Taking:      r.acceptsFlows(),
 		Empty:       r.ended,
 		Failing:     r.detector.isEjected(now),
 		Slots:       r.upstream.Slots,
