Save flows whose requests must not be repeated before all others

Two entries had more flows than the 420 that they save; bookings whose callers had paused for 5 s gave way to feeds, which may be repeated. After the return of power these flows were reset only when the next booking was sent on them. Ruled out: the store answered all the time; the other lost bookings stood on flows that were opened in the last second before the loss. Change: flows that have likely moved come after the others of their own kind only.

--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -47,7 +47,7 @@
 	type ranked struct {
 		FlowSnapshot
 		seen  time.Duration
-		class int // 0: requests must not be repeated, 1: they may be; +2: likely moved to another entry
+		class int // 0: requests must not be repeated, 2: they may be; +1: likely moved to another entry
 	}
 	var all []ranked
 	config := d.config.Load()
@@ -64,10 +64,10 @@
 			}
 			class := 0
 			if r.Idempotent {
-				class = 1
+				class = 2
 			}
 			if now-rec.lastSeen > movedAfter {
-				class += 2
+				class++
 			}
 			all = append(all, ranked{FlowSnapshot{
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.startID, Acknowledged: rec.acknowledged,
--- a/pkg/director/snapshot_test.go
+++ b/pkg/director/snapshot_test.go
@@ -49,3 +49,31 @@
 	d.Tick(13*time.Second, 0)
 	is.Equal(d.Flows(), 3) // the closed flows are removed
 }
+
+// TestUnrepeatableFlowsAreSavedFirst guards against the loss of requests that must not be
+// repeated after a loss of power: at an entry with more flows than it saves, flows whose
+// callers pause for long must not give way to flows whose requests may be repeated.
+func TestUnrepeatableFlowsAreSavedFirst(t *testing.T) {
+	is := is.New(t)
+	var sent []peer.Addr
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, recordingPort{&sent})
+	shares := []route.Share{{Service: "maklerlink", Weight: 1}}
+	feeds, bookings := vipAt(1), vipAt(2)
+	d.SetConfig(route.New(1, []route.Route{
+		{Name: "feeds", VIP: feeds, Idempotent: true, Shares: shares},
+		{Name: "bookings", VIP: bookings, Shares: shares},
+	}))
+	agent := peer.Addr{10, 0, 0, 2}
+	d.HandleReport(0, agent, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u-1", Born: 1, Taking: true, Slots: 2})
+	open := func(caller int, flow segment.Flow) segment.Flow {
+		is.NoErr(d.HandleAgentDatagram(time.Duration(caller)*time.Second, agent, peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Start: peer.StartID("u-1", 1)}.Append(nil)))
+		return flow
+	}
+	paused := open(1, segment.NewFlow(vipAt(1001), bookings))
+	feed := open(9, segment.NewFlow(vipAt(1002), feeds))
+
+	saved := d.SnapshotFlows(9*time.Second, 1)
+	is.Equal(len(saved), 1)
+	is.Equal(saved[0].Flow, paused)
+	is.Equal(d.SnapshotFlows(9*time.Second, 2)[1].Flow, feed)
+}
