--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -40,9 +40,9 @@
 // the caller has closed, whose upstream's start is unknown, or whose VIP has no route;
 // without a configuration it returns none. Flows whose requests must not be repeated
 // come first: a caller that learns only from its next request that its flow is gone
-// loses that request. Within each kind, those without packets for the longest come
-// first, as their callers are the next to send. Flows that have likely moved to another
-// entry come after all others, in the same order.
+// loses that request. Within each kind, flows that have likely moved to another entry come
+// last, and those without packets for the longest first, as their callers are the next to
+// send.
 func (d *Director) SnapshotFlows(now time.Duration, limit int) []FlowSnapshot {
 	type ranked struct {
 		FlowSnapshot
