Order sets of evacuated failure domains by era and revision

Cause: an operator's request reaches a process through the store and through several others, in any order, and a restored store may lack a request or name a withdrawn one. Change: pkg/evacuation derives the set in force from reads and messages, with the hold of 3 s after a restore; the message carries what the copy lacks while the hold lasts.

--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -90,8 +90,17 @@
 		// Era and Revision are those of the store.
 		Era      uint64 `cbor:"1,keyasint"`
 		Revision uint64 `cbor:"2,keyasint"`
-		// Domains are the evacuated failure domains, in alphabetical order.
+		// Domains are the evacuated failure domains according to the store, in
+		// alphabetical order.
 		Domains []string `cbor:"3,keyasint,omitempty"`
+		// Provisional means that the sender has known the era for a short time only. The
+		// store may then be a copy that lacks what was written last.
+		Provisional bool `cbor:"4,keyasint,omitempty"`
+		// Kept are the domains that are evacuated at the sender although Domains lacks
+		// them, Withheld those of Domains that are not. Both are set only if Provisional
+		// is.
+		Kept     []string `cbor:"5,keyasint,omitempty"`
+		Withheld []string `cbor:"6,keyasint,omitempty"`
 	}
 
 	// GoodbyeMessage is sent by a process before it stops.
