--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -56,6 +56,7 @@
 		Ready         bool                   `json:"ready"`
 		Settled       bool                   `json:"settled"`
 		ConfigVersion uint64                 `json:"config-version"`
+		Evacuation    Evacuation             `json:"evacuation"`
 		Flows         int                    `json:"flows"`
 		UptimeMS      int64                  `json:"uptime-ms"`
 		Agents        []director.AgentStatus `json:"agents"`
@@ -63,8 +64,35 @@
 		// LeftOut is how many log lines were left out by sampling.
 		LeftOut int64 `json:"log-lines-sampled"`
 	}
+
+	// Evacuation holds the evacuated failure domains that an entry knows, and the era and
+	// revision of the store at which it learned them.
+	Evacuation struct {
+		Known    bool     `json:"known"`
+		Domains  []string `json:"domains"`
+		Era      uint64   `json:"era"`
+		Revision uint64   `json:"revision"`
+	}
 )
 
+// newerThan reports whether e was read at a later point in the history of the store.
+func (e Evacuation) newerThan(other Evacuation) bool {
+	return e.Era > other.Era || e.Era == other.Era && e.Revision > other.Revision
+}
+
+// String returns the domains and the point in the history of the store, "-" if nothing is
+// known.
+func (e Evacuation) String() string {
+	if !e.Known {
+		return "-"
+	}
+	domains := "none"
+	if len(e.Domains) > 0 {
+		domains = strings.Join(e.Domains, ",")
+	}
+	return fmt.Sprintf("%s at %d/%d", domains, e.Era, e.Revision)
+}
+
 // Read fetches the metrics of the entries at the given metrics addresses, all at the
 // same time. An entry that does not answer is in the result with its error.
 func Read(ctx context.Context, addresses []string) Overview {
@@ -101,13 +129,18 @@
 }
 
 // Problems returns a line for each condition that an operator should check: entries that
-// do not answer, are not ready or have an older configuration than another; agents whose
-// upstream is ejected; agents that some of the entries do not know.
+// do not answer, are not ready, have an older configuration than another, or differ in the
+// evacuated failure domains from the one that has read them last; agents whose upstream is
+// ejected; agents that some of the entries do not know.
 func (o Overview) Problems() []string {
 	var out []string
 	newest := uint64(0)
+	var evacuation Evacuation
 	for _, e := range o.Entries {
 		newest = max(newest, e.Vars.ConfigVersion)
+		if e.Vars.Evacuation.newerThan(evacuation) {
+			evacuation = e.Vars.Evacuation
+		}
 	}
 	for _, e := range o.Entries {
 		switch {
@@ -120,6 +153,9 @@
 		if e.Vars.ConfigVersion < newest {
 			out = append(out, fmt.Sprintf("%s has configuration %d, another has %d", e.Address, e.Vars.ConfigVersion, newest))
 		}
+		if own := e.Vars.Evacuation; evacuation.Known && (!own.Known || !slices.Equal(own.Domains, evacuation.Domains)) {
+			out = append(out, fmt.Sprintf("%s has evacuated domains %s, another has %s", e.Address, own, evacuation))
+		}
 	}
 	for _, a := range o.summarizeAgents() {
 		if a.status.Failing {
@@ -177,10 +213,10 @@
 	for _, p := range o.Problems() {
 		fmt.Fprintln(t, p)
 	}
-	fmt.Fprintf(t, "\nentry\tready\tsettled\tconfiguration\tflows\tup\tcalls to the store\tlog lines left out\n")
+	fmt.Fprintf(t, "\nentry\tready\tsettled\tconfiguration\tevacuated\tflows\tup\tcalls to the store\tlog lines left out\n")
 	for _, e := range o.Entries {
 		if e.Err == nil {
-			fmt.Fprintf(t, "%s\t%t\t%t\t%d\t%d\t%s\t%d\t%d\n", e.Address, e.Vars.Ready, e.Vars.Settled, e.Vars.ConfigVersion, e.Vars.Flows,
+			fmt.Fprintf(t, "%s\t%t\t%t\t%d\t%s\t%d\t%s\t%d\t%d\n", e.Address, e.Vars.Ready, e.Vars.Settled, e.Vars.ConfigVersion, e.Vars.Evacuation, e.Vars.Flows,
 				time.Duration(e.Vars.UptimeMS)*time.Millisecond, e.Vars.storeCalls(), e.Vars.LeftOut)
 		}
 	}
--- a/internal/overview/overview_test.go
+++ b/internal/overview/overview_test.go
@@ -25,8 +25,8 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// TestProblemsAndTables covers two entries that differ in readiness, configuration and
-// known agents, and a third one that does not answer.
+// TestProblemsAndTables covers two entries that differ in readiness, configuration, evacuated
+// failure domains and known agents, and a third one that does not answer.
 func TestProblemsAndTables(t *testing.T) {
 	is := is.New(t)
 	stopped := httptest.NewServer(nil)
@@ -37,13 +37,14 @@
 	var out strings.Builder
 	is.NoErr(o.Write(&out))
 	problems := o.Problems()
-	is.Equal(len(problems), 5)
+	is.Equal(len(problems), 6)
 	is.Equal(problems[0], second+" is not ready")
 	is.Equal(problems[1], second+" has configuration 24, another has 25")
-	is.True(strings.HasPrefix(problems[2], stoppedAddress+" does not answer"))
-	is.Equal(problems[3], "10.1.0.42 is known to 1 of 2 entries")
-	is.Equal(problems[4], "10.2.0.43: its upstream resets its flows")
+	is.Equal(problems[2], second+" has evacuated domains none at 2/131, another has graz-nord at 2/140")
+	is.True(strings.HasPrefix(problems[3], stoppedAddress+" does not answer"))
+	is.Equal(problems[4], "10.1.0.42 is known to 1 of 2 entries")
+	is.Equal(problems[5], "10.2.0.43: its upstream resets its flows")
 	text := strings.Join(strings.Fields(out.String()), " ")
-	is.True(strings.Contains(text, first+" true true 25 170 1m1.5s 43 12"))
+	is.True(strings.Contains(text, first+" true true 25 graz-nord at 2/140 170 1m1.5s 43 12"))
 	is.True(strings.Contains(text, "maklerlink 10.2.0.43 i-2 graz-sued true 75 3 2 20ms")) // from the newer of two reports
 }
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -82,6 +82,16 @@
 	return out
 }
 
+// anyEvacuated reports whether an agent of a service has reported recently, is not about to
+// stop, and is in an evacuated failure domain.
+func (m *members) anyEvacuated(now time.Duration, service peer.ServiceID) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.ContainsFunc(m.byService[service], func(a *agent) bool {
+		return !a.leaving && now-a.reportedAt <= suspectAfter && m.evacuated[a.status.FailureDomain]
+	})
+}
+
 // untried returns up to peer.MaxCandidates agents of a service that are not among
 // those tried, have reported recently, are not about to stop and are not in an evacuated
 // failure domain. It includes those whose last report does not allow new flows.
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -69,6 +69,9 @@
 	// NotAccepted means that a new flow was reset because no agent accepts it, or
 	// because no service of its route has a weight.
 	NotAccepted Event = "no-taker"
+	// Evacuated means that a new flow was reset because the agents of its service that
+	// have reported recently are in evacuated failure domains or accept no flows.
+	Evacuated Event = "upstreams-evacuated"
 	// NoRoute means that an unknown flow was reset because its VIP has no route.
 	NoRoute Event = "no-route"
 	// RouteDropped means that a cached flow was reset because its VIP no longer has
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -56,7 +56,7 @@
 	}
 	list, load, age := d.members.openingCandidates(now, service, h.Flow.Hash())
 	if len(list) == 0 {
-		d.refuseOpening(now, h)
+		d.refuseOpening(now, service, h)
 		return
 	}
 	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
@@ -151,11 +151,15 @@
 	return time.Duration(float64(timeout) * patienceShare)
 }
 
-// refuseOpening resets an opening for which there is no agent, if it is certain
+// refuseOpening resets an opening for which the service has no agent, if it is certain
 // that there is none.
-func (d *Director) refuseOpening(now time.Duration, h segment.Header) {
+func (d *Director) refuseOpening(now time.Duration, service peer.ServiceID, h segment.Header) {
 	if !d.settled(now) {
 		return // an agent that has not reported yet may accept the flow
 	}
-	d.reset(NotAccepted, h, 0)
+	event := NotAccepted
+	if d.members.anyEvacuated(now, service) {
+		event = Evacuated
+	}
+	d.reset(event, h, 0)
 }
--- a/pkg/director/opening_test.go
+++ b/pkg/director/opening_test.go
@@ -164,3 +164,20 @@
 func netipPort(a netip.AddrPort, port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(a.Addr(), port)
 }
+
+// TestOpeningIsResetIfAllUpstreamsAreEvacuated covers openings for a service whose failure
+// domains are all evacuated: they must neither wait nor go there, and be told from overload.
+func TestOpeningIsResetIfAllUpstreamsAreEvacuated(t *testing.T) {
+	is := is.New(t)
+	port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
+	d := newBusySite(port, route.Share{Service: feedService, Weight: 1})
+	open := platform.EncodePacket(segment.Header{Flow: feedFlow(route.Route{Shares: []route.Share{{Service: feedService, Weight: 1}}}), Flags: segment.Open}, false)
+	d.SetEvacuated([]string{""}) // the failure domain of all agents
+	is.Equal(len(d.AgentsIn([]string{""})), 8)
+	is.NoErr(d.HandleCallerPacket(time.Second, open))
+	is.Equal(len(port.frames), 0)
+	is.Equal(port.resets, 1)
+	d.SetEvacuated(nil)
+	is.NoErr(d.HandleCallerPacket(time.Second, open))
+	is.Equal(len(port.frames), 1)
+}
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -61,6 +61,9 @@
 	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow }) {
 		return // a retransmission
 	}
+	if r.evacuated {
+		r.port.RecordDecision(RefusedEvacuated, h.Flow, f)
+	}
 	switch r.admit(now, f) {
 	case offerOpening:
 		r.offer(now, f, h)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -194,6 +194,9 @@
 	// ReturnedToEntry: a frame was returned to its entry, as no candidate accepted
 	// it.
 	ReturnedToEntry Event = "sent-back"
+	// RefusedEvacuated: an opening was not offered to the upstream, as the failure domain
+	// is evacuated.
+	RefusedEvacuated Event = "refused-evacuated"
 	// RefusedByUpstream: the upstream bounced a packet.
 	RefusedByUpstream Event = "refused-by-upstream"
 	// ResetUpstreamEnded: a flow was reset, as the upstream's process that held
