--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -208,9 +208,9 @@
 		a.log.Info("entry heard", zap.Stringer("entry", from))
 		added = append(added, from)
 	}
-	a.reportTo(added...)
 	a.evacuations.handleMessage(a.now(), from, hello.Evacuation)
 	a.followColdRate(hello)
+	a.reportTo(added...)
 	return nil
 }
 
--- a/internal/fleet/operator_keys_test.go
+++ b/internal/fleet/operator_keys_test.go
@@ -15,11 +15,20 @@
 	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
 
+// countingPort counts the datagrams of a director to agents and its packets to callers.
+type countingPort struct{ toAgents, resets int }
+
+func (p *countingPort) ToProcess(peer.Addr, []byte)                   { p.toAgents++ }
+func (p *countingPort) ToCaller(segment.Flow, []byte)                 { p.resets++ }
+func (p *countingPort) RecordLatency(director.Measure, time.Duration) {}
+func (p *countingPort) RecordDecision(director.Decision)              {}
+
 // newTestConfigSync returns a configSync of an entry without sockets, and its log lines.
-func newTestConfigSync(t *testing.T, store *kvstandin.Store) (*configSync, *observer.ObservedLogs) {
+func newTestConfigSync(t *testing.T, store *kvstandin.Store, port director.Port) (*configSync, *observer.ObservedLogs) {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -28,7 +37,7 @@
 		log: zap.New(core), started: time.Now(), entries: newEntrySet(entryTimeout),
 		store: platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))),
 	}
-	return newConfigSync(p, director.New(p.self, p.codec, nil), func() {}, func([]string) {}), logged
+	return newConfigSync(p, director.New(p.self, p.codec, port), func() {}, func([]string) {}), logged
 }
 
 // TestForeignOperatorKeysAreIgnored covers keys of someone else under the prefix, on pages of
@@ -42,7 +51,7 @@
 	store.Set("op/evacuate/graz-nord", []byte("not JSON"))
 	store.Set("op/evacuate/graz-nord/rack-7", []byte("{}"))
 	store.Set("op/evacuate/"+strings.Repeat("x", maxEvacuatedBytes), []byte("{}"))
-	c, logged := newTestConfigSync(t, store)
+	c, logged := newTestConfigSync(t, store, nil)
 	is.NoErr(c.read(context.Background()))
 	is.NoErr(c.read(context.Background()))
 	is.Equal(c.evacuations.message().Domains, []string{"graz-nord"})
@@ -55,7 +64,7 @@
 // configuration in force would let it place flows in an evacuated domain.
 func TestEvacuationsAreKnownBeforeConfiguration(t *testing.T) {
 	is := is.New(t)
-	c, _ := newTestConfigSync(t, kvstandin.New())
+	c, _ := newTestConfigSync(t, kvstandin.New(), nil)
 	hello := peer.HelloMessage{ConfigVersion: 7, VerifiedAgo: neverVerified}
 	c.handleHello(peer.Addr{10, 0, 0, 2}, hello)
 	is.Equal(len(c.newerFrom), 0)
@@ -64,13 +73,33 @@
 	is.Equal(len(c.newerFrom), 1)
 }
 
+// TestEntryOffersNothingToAgentsThatDoNotKnow covers an agent that has not heard of the
+// evacuation of its failure domain and reports that it accepts flows.
+func TestEntryOffersNothingToAgentsThatDoNotKnow(t *testing.T) {
+	is := is.New(t)
+	store := kvstandin.New()
+	store.Set(platform.ConfigKey, []byte(`{"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"maklerlink"}]}`))
+	store.Set("op/evacuate/graz-nord", []byte("{}"))
+	port := &countingPort{}
+	c, _ := newTestConfigSync(t, store, port)
+	is.NoErr(c.read(context.Background()))
+	d := c.director
+	agent := peer.Addr{10, 0, 1, 1}
+	d.MergeHolders(nil)
+	d.HandleReport(time.Second, agent, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Born: 5, Taking: true, Slots: 3, FailureDomain: "graz-nord"})
+	d.SetRegistered(time.Second, []peer.Addr{agent})
+	flow := segment.NewFlow(netip.MustParseAddrPort("100.64.0.7:1001"), netip.MustParseAddrPort("198.18.0.1:443"))
+	is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Open}, false)))
+	is.Equal(*port, countingPort{toAgents: 0, resets: 1})
+}
+
 // TestEvacuationEventIsReadOnce covers the number of calls: an event about an evacuation
 // leads to one read, and one about the configuration to none.
 func TestEvacuationEventIsReadOnce(t *testing.T) {
 	is := is.New(t)
 	store := kvstandin.New()
 	store.Set(platform.ConfigKey, []byte(`{"version":7}`))
-	c, _ := newTestConfigSync(t, store)
+	c, _ := newTestConfigSync(t, store, nil)
 	c.eras = newEraSignal()
 	is.NoErr(c.watchOnce(context.Background())) // reads, as no revision is known
 	store.Set("op/evacuate/graz-nord", []byte("{}"))
@@ -83,6 +112,23 @@
 	is.Equal(store.Calls()["kv-key"], 0)
 }
 
+// TestCompactedHistoryIsRead covers an evacuation that ends while this entry does not watch,
+// in a history that the store has compacted: no event tells of it.
+func TestCompactedHistoryIsRead(t *testing.T) {
+	is := is.New(t)
+	store := kvstandin.New()
+	store.Set(platform.ConfigKey, []byte(`{"version":7}`))
+	store.Set("op/evacuate/graz-nord", []byte("{}"))
+	c, _ := newTestConfigSync(t, store, nil)
+	c.eras = newEraSignal()
+	is.NoErr(c.watchOnce(context.Background()))
+	is.Equal(c.evacuations.message().Domains, []string{"graz-nord"})
+	store.Delete("op/evacuate/graz-nord")
+	store.Compact()
+	is.NoErr(c.watchOnce(context.Background()))
+	is.Equal(len(c.evacuations.message().Domains), 0)
+}
+
 // TestColdRateOfNewestConfiguration covers hello messages of entries with an older
 // configuration, or none yet: they must not lift the limit of a newer one.
 func TestColdRateOfNewestConfiguration(t *testing.T) {
