Cold upstreams are offered openings up to a limit in any second

Cause: callers that return at once overload an upstream that has just started or whose evacuation has just ended; its service may say how many requests a second it bears while cold. Change: admission.Limiter, a sliding window, and Relay.SetColdLimit with WithColdBounds from the settings. Without budget an opening goes to the next candidate, or waits if budget returns within its patience. Without a rate nothing changes.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	a := &Agent{process: p, upstreamConn: conn}
-	a.relay = relay.New(p.self, peer.Service(s.Service), p.codec, a, relay.WithLifetime(s.FlowLifetime))
+	a.relay = relay.New(p.self, peer.Service(s.Service), p.codec, a, relay.WithLifetime(s.FlowLifetime), relay.WithColdBounds(s.ColdOverage, s.ColdSlack))
 	return a, nil
 }
 
--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -20,6 +20,12 @@
 //	queue.Add("a", admission.Terms{Until: now + 500*time.Millisecond})
 //	next, ok := queue.Next()
 //
+//	var limiter admission.Limiter
+//	limiter.SetLimit(20) // openings in any second
+//	if limiter.Wait(now) == 0 {
+//		limiter.Record(now) // an opening is offered
+//	}
+//
 // Times count from a fixed point, such as the start of the process. The types are not
 // safe for concurrent use.
 package admission
@@ -76,6 +82,9 @@
 	}
 )
 
+// At returns when the flow was offered.
+func (o *Opening) At() time.Duration { return o.at }
+
 // SetSlots sets how many requests the upstream serves at once.
 func (l *Load) SetSlots(now time.Duration, slots int) {
 	l.advance(now)
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -14,9 +14,9 @@
 	// loadScale converts requests per slot to the unit of a load in a frame:
 	// eighths of a request per slot.
 	loadScale = 8
-	// ejectedLoad is the load in a frame of an upstream that has a free slot but is
-	// ejected or on trial: it comes after upstreams with fewer than two requests per
-	// slot.
+	// ejectedLoad is the least load in a frame of an upstream that has a free slot but is
+	// ejected or on trial, or cold and without budget: it comes after upstreams with fewer
+	// than two requests per slot.
 	ejectedLoad = 2 * loadScale
 )
 
@@ -48,19 +48,33 @@
 		// ServiceMS is the observed mean time in milliseconds for which a request
 		// occupies a slot, 0 before the first answer.
 		ServiceMS int64 `json:"service-ms"`
+		// Cold means that the upstream is in its warm-up or may be.
+		Cold bool `json:"cold"`
+		// ColdLimit is how many openings it may be offered in any second while it is cold,
+		// 0 for no limit, and ColdUsed how many it was offered in the last one.
+		ColdLimit float64 `json:"cold-limit"`
+		ColdUsed  int     `json:"cold-used"`
+		// ColdPassedOn counts the openings that were passed on because the limit was
+		// reached.
+		ColdPassedOn int `json:"cold-passed-on"`
 	}
 )
 
 // handleOpening handles an opening packet: it offers the flow to the upstream, lets the
 // opening wait for it, or forwards the frame to the next candidate.
 func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Header) {
-	if s := r.flows[h.Flow]; s != nil && s.phase != closed {
-		r.deliver(now, f, h, s) // a retransmission: the upstream answers it again
+	if s := r.flows[h.Flow]; s != nil && s.phase != closed { // a retransmission
+		if s.phase == accepted || r.retryOffer(now) {
+			r.deliver(now, f, h, s) // the upstream answers it again
+		}
 		return
 	}
 	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow }) {
 		return // a retransmission
 	}
+	if r.waiting.Len() > 0 && r.coldLimited(now) {
+		r.serveWaiting(now) // the budget that has returned since is first for those that wait
+	}
 	switch r.admit(now, f) {
 	case offerOpening:
 		r.offer(now, f, h)
@@ -77,26 +91,31 @@
 // Without one, admit records the load in the frame if it is the lowest so far, for
 // forward to choose the least busy candidate at the end of the list. A forced opening is
 // offered regardless of ejection if the upstream has room, and else may wait for it if
-// the frame allows that.
+// the frame allows that. While the upstream is cold, an opening also needs budget: without
+// it, admit treats the opening as if there were no free slot and no room, and lets it wait
+// only if budget returns in time.
 func (r *Relay) admit(now time.Duration, f *peer.Frame) verdict {
 	if f.Service != r.service || !r.acceptsFlows() {
 		return forwardOpening
 	}
+	coldWait := r.coldWait(now)
 	if f.Forced {
 		switch {
-		case r.load.HasRoom(now):
+		case coldWait == 0 && r.load.HasRoom(now):
 			return offerOpening
-		case f.Patience > 0:
+		case f.Patience > coldWait:
 			return delayOpening
 		}
+		r.countPassedOn(coldWait)
 		return forwardOpening
 	}
 	load := loadScale * (r.load.Busy(now) + r.waiting.Len()) / r.load.Slots()
 	if r.load.HasFreeSlot(now) {
-		if r.detector.allowFlow(now) {
+		if coldWait == 0 && r.detector.allowFlow(now) {
 			return offerOpening
 		}
-		load = ejectedLoad
+		load = max(load, ejectedLoad)
+		r.countPassedOn(coldWait)
 	}
 	if encoded := uint8(min(load, math.MaxUint8)); f.Best == 0 || encoded < f.BestLoad {
 		f.Best, f.BestLoad = f.Hop+1, encoded
@@ -107,6 +126,7 @@
 // offer offers the flow to the upstream.
 func (r *Relay) offer(now time.Duration, f *peer.Frame, h segment.Header) {
 	s := &flowState{entry: f.Entry, waitingSince: now, opening: r.load.Open(now)}
+	r.cold.limiter.Record(now)
 	r.flows[h.Flow] = s
 	r.port.RecordDecision(Offered, h.Flow, f)
 	r.deliver(now, f, h, s)
@@ -126,9 +146,9 @@
 	r.port.ToProcess(f.Entry, r.buf)
 }
 
-// serveWaiting offers waiting openings while the upstream has room for them. It returns
-// those that have waited for their patience to the entries, and all of them if the
-// upstream accepts no flows any more.
+// serveWaiting offers waiting openings while the upstream has room and budget for them. It
+// returns those that have waited for their patience to the entries, and all of them if
+// the upstream accepts no flows any more.
 func (r *Relay) serveWaiting(now time.Duration) {
 	expired := r.waiting.Expired(now)
 	if !r.acceptsFlows() {
@@ -137,7 +157,7 @@
 	for _, w := range expired {
 		r.forward(&w.frame, w.header)
 	}
-	for r.waiting.Len() > 0 && r.load.HasRoom(now) {
+	for r.waiting.Len() > 0 && r.load.HasRoom(now) && r.coldWait(now) == 0 {
 		w, _ := r.waiting.Next()
 		r.port.RecordLatency(Waiting, now-w.since)
 		r.offer(now, &w.frame, w.header)
@@ -151,5 +171,6 @@
 	return Admission{
 		Slots: r.load.Slots(), Running: r.load.Running(), Busy: r.load.Busy(now),
 		Waiting: r.waiting.Len(), ServiceMS: r.load.ServiceTime().Milliseconds(),
+		Cold: r.isCold(now), ColdLimit: r.cold.limiter.Limit(), ColdUsed: r.cold.limiter.Used(now), ColdPassedOn: r.cold.passedOn,
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -124,9 +124,8 @@
 		upstream        Upstream
 		startID         uint32        // peer.StartID of the upstream, 0 if unknown
 		lastHeartbeatAt time.Duration // when the upstream's last heartbeat came
-		coldUntil       time.Duration
-		alive           bool // the upstream runs, or is assumed to, and has not deregistered
-		ended           bool // the upstream's process has ended, and with it all its flows
+		alive           bool          // the upstream runs, or is assumed to, and has not deregistered
+		ended           bool          // the upstream's process has ended, and with it all its flows
 		deregisteredAt  time.Duration
 		deregistered    bool           // since the last heartbeat
 		evacuated       bool           // the failure domain of the agent gets no new flows
@@ -135,6 +134,7 @@
 		load            admission.Load // of the upstream
 		waiting         *admission.Queue[*waitingOpening]
 		detector        outlierDetector
+		cold            coldState
 		lifetime        time.Duration // idle time after which an accepted flow is removed
 	}
 
@@ -238,6 +238,7 @@
 		flows:    make(map[segment.Flow]*flowState),
 		waiting:  admission.NewQueue[*waitingOpening](maxWaiting),
 		lifetime: time.Minute,
+		cold:     coldState{unconfirmed: true},
 	}
 	for _, o := range options {
 		o(r)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -100,7 +100,8 @@
 // nothing. "report" stands for a status report that is due at once after a packet
 // of the upstream.
 //
-//	heartbeat ID SEQUENCE [draining] [born N] [age MILLISECONDS]   from the upstream
+//	heartbeat ID SEQUENCE [draining] [born N] [age MILLISECONDS] [cold MILLISECONDS] [slots N]
+//	                                 from the upstream
 //	deregister ID | ended | stop | tick SECONDS | wait MILLISECONDS | assume-ready
 //	place N [best I LOAD] [forced] [patience MILLISECONDS] [priority P] [service NAME] [last]
 //	                                 an opening of caller N
@@ -108,6 +109,9 @@
 //	accept N SEQ | answer N BYTES | reset N                the upstream's packets
 //	owner-query N ACK                an entry asks which agent's upstream holds the
 //	                                 flow of caller N
+//	cold-limit N                     a cold upstream may be offered 1.5 * N + 1 openings a second
+//	evacuate | end-evacuation        of the agent's failure domain
+//	budget                           sends "budget USED of LIMIT, passed on N", for the next ">"
 //	bounce                           the upstream bounces the last packet delivered to it
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -120,7 +124,7 @@
 			text, err := os.ReadFile(file)
 			is.NoErr(err)
 			r := &harness{}
-			r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r)
+			r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r, relay.WithColdBounds(1.5, 1))
 			for n, line := range strings.Split(string(text), "\n") {
 				words := strings.Fields(line)
 				if len(words) == 0 || words[0] == "#" {
@@ -162,7 +166,20 @@
 		if i := slices.Index(words, "age"); i > 0 {
 			u.Age = time.Duration(number(words, i+1)) * time.Millisecond
 		}
+		if i := slices.Index(words, "cold"); i > 0 {
+			u.ColdFor = time.Duration(number(words, i+1)) * time.Millisecond
+		}
+		if i := slices.Index(words, "slots"); i > 0 {
+			u.Slots = number(words, i+1)
+		}
 		r.relay.HandleHeartbeat(r.now, u)
+	case "cold-limit":
+		r.relay.SetColdLimit(float64(number(words, 1)))
+	case "evacuate", "end-evacuation":
+		r.relay.SetEvacuated(r.now, words[0] == "evacuate")
+	case "budget":
+		a := r.relay.Admission(r.now)
+		r.out = append(r.out, fmt.Sprintf("budget %d of %v, passed on %d", a.ColdUsed, a.ColdLimit, a.ColdPassedOn))
 	case "deregister":
 		r.relay.HandleDeregistration(r.now, words[1])
 	case "stop":
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -33,11 +33,11 @@
 		r.resetFlowsBefore(now, now-u.Age)
 		r.detector.recordRestart(now)
 	}
+	r.recordWarmUp(now, u, !same && r.startID != 0)
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.startID = u, startID
 	r.load.SetSlots(now, u.Slots)
 	r.alive, r.ended, r.deregistered = true, false, false
-	r.coldUntil = now + u.ColdFor
 	if !same {
 		r.announceAll()
 	}
@@ -82,14 +82,15 @@
 }
 
 // SetEvacuated records whether the failure domain of the agent is evacuated: then no
-// opening is offered to the upstream, and those that wait return to their entries. It
-// reports whether the agent should send its status to other processes at once.
+// opening is offered to the upstream, and those that wait return to their entries. When the
+// evacuation ends, the upstream counts as cold until its next heartbeat. It reports whether the agent should send its status to other processes at once.
 func (r *Relay) SetEvacuated(now time.Duration, evacuated bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.evacuated != evacuated
 	r.evacuated = evacuated
 	if changed {
+		r.cold.unconfirmed = r.cold.unconfirmed || !evacuated
 		r.serveWaiting(now)
 	}
 	return changed
@@ -161,7 +162,7 @@
 		Empty:       r.ended,
 		Failing:     r.detector.isEjected(now),
 		Slots:       r.upstream.Slots,
-		ColdFor:     max(0, r.coldUntil-now).Milliseconds(),
+		ColdFor:     max(0, r.cold.until-now).Milliseconds(),
 		Flows:       r.activeFlows,
 		Running:     r.load.Running(),
 		ServiceTime: r.load.ServiceTime().Microseconds(),
