fleetsim evacuates failure domains and gives cold upstreams a limit

Cause: nothing simulated evacuations, entries that learn of them late, or callers that return to cold upstreams. Change: failure domains, hello messages with the set and the cold rates, three invariants (opened-while-evacuated, excluded-after-evacuation, cold-limit-exceeded); a flow that is reset because of an evacuation counts as broken. Seen to fail: with agents or with all processes ignoring evacuations, without the limit, with an evacuation that is never lifted, without coldness after an evacuation, with an agent that ignores what an earlier process offered, with flows reset at an evacuation.

--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -12,24 +12,29 @@
 // Entry is a simulated entry (a balancer process) together with its state in the
 // health checks of the routers.
 type Entry struct {
-	world        *World
-	address      peer.Addr
-	director     *director.Director
-	generation   int // of the process; timers of an earlier one do nothing
-	alive        bool
-	stopping     bool
-	paused       bool
-	inRotation   bool                  // the routers send packets to it
-	failedProbes int                   // in a row
-	oldConfig    int                   // probes in a row at which the entry had an old configuration
-	startedAt    time.Duration         // since the start of the simulation
-	replying     bool                  // the entry handles a packet of a caller
-	resets       map[segment.Flow]bool // flows that the entry has reset without a packet of them
-	lastTick     time.Duration         // since the start of the simulation
+	world           *World
+	address         peer.Addr
+	domain          string
+	director        *director.Director
+	generation      int // of the process; timers of an earlier one do nothing
+	alive           bool
+	stopping        bool
+	paused          bool
+	inRotation      bool                  // the routers send packets to it
+	failedProbes    int                   // in a row
+	oldConfig       int                   // probes in a row at which the entry had an old configuration
+	startedAt       time.Duration         // since the start of the simulation
+	replying        bool                  // the entry handles a packet of a caller
+	resets          map[segment.Flow]bool // flows that the entry has reset without a packet of them
+	lastTick        time.Duration         // since the start of the simulation
+	evacuation      evacuationView
+	runningSince    time.Duration // since the last start or pause
+	uninformedUntil time.Duration
+	greeted         map[peer.Addr]int64 // incarnations of the agents that have had a hello message
 }
 
 func (w *World) addEntry() *Entry {
-	e := &Entry{world: w, address: w.nextAddress()}
+	e := &Entry{world: w, address: w.nextAddress(), domain: w.domainOf(len(w.entries))}
 	w.entries = append(w.entries, e)
 	w.nodes[e.address] = e
 	w.Every(0, probeInterval, func() bool { e.probe(); return true })
@@ -45,18 +50,23 @@
 	generation := e.generation
 	e.alive, e.stopping = true, false
 	e.resets = make(map[segment.Flow]bool)
-	e.lastTick, e.startedAt = w.now(), w.now()
+	e.lastTick, e.startedAt, e.runningSince = w.now(), w.now(), w.now()
+	e.greeted = make(map[peer.Addr]int64)
+	e.uninformedUntil = 0
 	stored := w.readStore()
-	e.director = director.New(e.address, w.codec, e)
+	e.director = director.New(e.address, w.codec, e, director.WithFailureDomain(e.domain))
 	e.director.MergeHolders(stored.holders)
 	e.director.SetConfig(stored.config)
 	e.director.RestoreFlows(w.now(), stored.snapshots[e.address])
+	e.evacuation = evacuationView{}
+	e.learnEvacuation(stored.evacuation)
 	running := func() bool { return e.alive && e.generation == generation }
 	w.Every(tickInterval, tickInterval, func() bool {
 		if running() && !e.paused {
 			now := w.now()
 			e.director.Tick(now, now-e.lastTick)
 			e.lastTick = now
+			e.director.SetEvacuated(e.evacuation.domains(now))
 		}
 		return running()
 	})
@@ -68,6 +78,14 @@
 		}
 		return running()
 	})
+	hellos := 0
+	w.Every(helloInterval, helloInterval, func() bool {
+		if running() && !e.paused {
+			hellos++
+			e.sendPeriodicHello(hellos)
+		}
+		return running()
+	})
 	var agents []peer.Addr // of an entry that was started before
 	w.After(peerAnswerTime, func() {
 		if running() {
@@ -78,6 +96,7 @@
 	w.Every(peerAnswerTime, registryPollInterval, func() bool {
 		if running() && !e.paused {
 			stored := w.readStore()
+			e.learnEvacuation(stored.evacuation)
 			e.director.SetRegistered(w.now(), append(slices.Clone(stored.registered), agents...))
 			if stored.config.Version() == e.director.Config().Version() {
 				e.director.MarkVerified(w.now())
@@ -105,13 +124,14 @@
 // datagrams that arrive meanwhile are lost.
 func (e *Entry) Pause(d time.Duration) {
 	e.paused = true
-	e.world.After(d, func() { e.paused = false })
+	e.world.After(d, func() { e.paused, e.runningSince = false, e.world.now() })
 }
 
 // probe is the health check of the routers: the entry is in rotation from the
 // first probe that succeeds until probeFailureThreshold probes in a row fail.
 func (e *Entry) probe() {
 	e.checkConfig()
+	e.checkEvacuation()
 	if e.alive && !e.stopping && !e.paused && e.director.Reachable(e.world.now()) {
 		e.failedProbes, e.inRotation = 0, true
 		return
@@ -164,6 +184,19 @@
 			return
 		}
 		e.director.HandleReport(e.world.now(), from, st)
+		if e.greeted[from] != st.Incarnation && e.world.sendsHellos() {
+			e.greeted[from] = st.Incarnation
+			e.sendHello(from)
+		}
+	case peer.Hello:
+		var m peer.HelloMessage
+		if err := peer.DecodeMessage(datagram, &m); err != nil {
+			e.world.count("malformed")
+			return
+		}
+		if m.Evacuation != nil {
+			e.learnEvacuation(*m.Evacuation)
+		}
 	case peer.Goodbye:
 		var f peer.GoodbyeMessage
 		if err := peer.DecodeMessage(datagram, &f); err != nil {
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -12,24 +12,32 @@
 // Instance is a simulated machine that runs an upstream and the agent beside
 // it.
 type Instance struct {
-	world        *World
-	address      peer.Addr
-	service      string
-	slots        int
-	relay        *relay.Relay
-	generation   int // of the agent; timers of an earlier one do nothing
-	agentUp      bool
-	unreachable  bool          // without power, partitioned or disconnected
-	removed      bool          // its agent has stopped for good
-	sequence     uint64        // of the agent's last report
-	agentStarted time.Duration // since the start of the simulation, as lastRenewal
-	lastRenewal  time.Duration // of the agent's registration
-	upstream     *upstream     // nil while it does not run
-	slowFactor   float64       // of the upstream's processing time; 0 and 1: as usual
+	world       *World
+	address     peer.Addr
+	service     string
+	domain      string
+	slots       int
+	relay       *relay.Relay
+	generation  int // of the agent; timers of an earlier one do nothing
+	agentUp     bool
+	unreachable bool // without power, partitioned or disconnected
+	evacuation  evacuationView
+	greeted     bool // the agent has had a hello message
+	// reachableSince is when the instance was last reachable again, since the start of
+	// the simulation.
+	reachableSince time.Duration
+	heartbeatAt    time.Duration // when the agent last had one of the upstream
+	evacuatedAt    time.Duration // when the agent last knew that its domain is evacuated
+	removed        bool          // its agent has stopped for good
+	sequence       uint64        // of the agent's last report
+	agentStarted   time.Duration // since the start of the simulation, as lastRenewal
+	lastRenewal    time.Duration // of the agent's registration
+	upstream       *upstream     // nil while it does not run
+	slowFactor     float64       // of the upstream's processing time; 0 and 1: as usual
 }
 
 func (w *World) addInstance(service string, slots int) *Instance {
-	i := &Instance{world: w, address: w.nextAddress(), service: service, slots: slots}
+	i := &Instance{world: w, address: w.nextAddress(), service: service, slots: slots, domain: w.domainOf(len(w.Instances(service)))}
 	w.instances = append(w.instances, i)
 	w.nodes[i.address] = i
 	i.startUpstream()
@@ -66,7 +74,8 @@
 	i.generation++
 	generation := i.generation
 	i.agentUp, i.sequence, i.agentStarted = true, 0, w.now()
-	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i)
+	i.evacuation, i.greeted = evacuationView{}, false
+	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i, relay.WithColdBounds(coldOverage, coldSlack), relay.WithStart(w.now()))
 	if i.upstream == nil {
 		i.relay.MarkEnded(i.world.now())
 	} else if !i.upstream.draining {
@@ -76,6 +85,8 @@
 	w.Every(tickInterval, tickInterval, func() bool {
 		if running() {
 			i.relay.Tick(w.now())
+			i.applyEvacuation()
+			i.checkEvacuation()
 		}
 		return running()
 	})
@@ -100,7 +111,7 @@
 	st := i.relay.Status(i.world.now())
 	st.Incarnation = i.world.start.Add(i.agentStarted).UnixMilli()
 	st.Sequence = i.sequence
-	st.Service = i.service
+	st.Service, st.FailureDomain = i.service, i.domain
 	i.broadcast(peer.Report, st)
 }
 
@@ -124,6 +135,7 @@
 		return
 	}
 	u.heartbeats++
+	i.heartbeatAt = i.world.now()
 	changed := i.relay.HandleHeartbeat(i.world.now(), relay.Upstream{
 		ID: u.id, Born: u.born, Sequence: u.heartbeats, Slots: i.slots, Draining: u.draining,
 		Age: i.world.Now().Sub(time.UnixMilli(u.born)), ColdFor: u.coldFor(),
@@ -226,7 +238,7 @@
 	}
 	i.agentUp, i.upstream, i.unreachable = false, nil, true
 	i.world.After(down, func() {
-		i.unreachable = false
+		i.unreachable, i.reachableSince = false, i.world.now()
 		i.startUpstream()
 		i.startAgent()
 		i.sendHeartbeat()
@@ -242,7 +254,7 @@
 // the agent, but both keep running.
 func (i *Instance) Partition(d time.Duration) {
 	i.unreachable = true
-	i.world.After(d, func() { i.unreachable = false })
+	i.world.After(d, func() { i.unreachable, i.reachableSince = false, i.world.now() })
 }
 
 // up implements node.
@@ -251,9 +263,13 @@
 // receive implements node.
 func (i *Instance) receive(from peer.Addr, datagram []byte) {
 	kind, err := peer.KindOf(datagram)
-	if err == nil && kind == peer.OwnerQuery {
+	switch {
+	case err != nil:
+	case kind == peer.OwnerQuery:
 		err = i.relay.HandleOwnerQuery(from, datagram)
-	} else if err == nil {
+	case kind == peer.Hello:
+		err = i.receiveHello(datagram)
+	default:
 		err = i.relay.HandleFrame(i.world.now(), datagram)
 	}
 	if err != nil {
--- a/internal/fleetsim/load.go
+++ b/internal/fleetsim/load.go
@@ -85,13 +85,14 @@
 	coldStart struct {
 		duration time.Duration
 		factor   float64 // of the processing time
+		rate     float64 // openings a second that an upstream bears meanwhile, 0 for no limit
 	}
 )
 
 // WithColdStart makes upstreams slower by the factor for the given time after their
 // start; by default they are not.
 func WithColdStart(d time.Duration, factor float64) Option {
-	return func(w *World) { w.cold = coldStart{duration: d, factor: factor} }
+	return func(w *World) { w.cold.duration, w.cold.factor = d, factor }
 }
 
 // WithQueueLength sets how many requests may wait at an upstream before it sheds further
--- a/internal/fleetsim/random.go
+++ b/internal/fleetsim/random.go
@@ -60,8 +60,17 @@
 //   - "malformed": datagrams and packets that could not be decoded
 //   - "config-outdated": a running entry kept an older configuration than configApplyTime
 //     allows
+//   - "opened-while-evacuated": flows that an upstream accepted later than evacuationBound
+//     after the request for an evacuation of its failure domain
+//   - "excluded-after-evacuation": checks that found a failure domain excluded at an entry, or
+//     an upstream without new flows, later than evacuationBound after the withdrawal
+//   - "cold-limit-exceeded": flows that an upstream accepted in its warm-up beyond its limit
+//     in any second
+//
+// A flow that is reset because of an evacuation counts as "broken".
 func Invariants() []string {
-	return []string{"broken", "misrouted", "opened-while-draining", "malformed", "config-outdated"}
+	return []string{"broken", "misrouted", "opened-while-draining", "malformed", "config-outdated",
+		"opened-while-evacuated", "excluded-after-evacuation", "cold-limit-exceeded"}
 }
 
 // RunRandom runs a random series of randomSteps disturbances, some of which
@@ -87,6 +96,7 @@
 		result.Steps = append(result.Steps, fmt.Sprintf("%.3fs %s %s", w.now().Seconds(), d.name, d.run(w)))
 		w.Run(time.Duration(w.random.Int64N(int64(randomPause))))
 	}
+	w.endEvacuations()
 	w.Run(randomSettleTime)
 	lost := w.Count("lost")
 	w.Run(randomSettleTime)
--- a/internal/fleetsim/random_test.go
+++ b/internal/fleetsim/random_test.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// TestInvariantsHoldUnderEvacuations adds requests and withdrawals of evacuations, of which
+// some entries learn late. Openings must not reach an evacuated domain, no domain may stay
+// excluded, and callers that return must not exceed the limit of a cold upstream.
+func TestInvariantsHoldUnderEvacuations(t *testing.T) {
+	for seed := uint64(1); seed <= randomSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := fleetsim.RunRandom(seed, fleetsim.WithEvacuations(seed))
+			checkResult(t, r)
+			is.New(t).True(r.Counts["evacuations"] > 0)
+		})
+	}
+}
+
 func checkResult(t *testing.T, r fleetsim.Result) {
 	t.Helper()
 	is := is.New(t)
--- a/internal/fleetsim/store_restore.go
+++ b/internal/fleetsim/store_restore.go
@@ -30,6 +30,7 @@
 		holders    map[netip.AddrPort][]string
 		registered []peer.Addr
 		snapshots  map[peer.Addr][]director.FlowSnapshot
+		evacuation peer.Evacuation
 	}
 
 	// storeRestores are the returns of the store from an older copy.
@@ -60,7 +61,8 @@
 		return *w.restores.lost
 	}
 	holders := maps.Clone(w.holders)
-	return storeContent{config: w.config(), holders: holders, registered: w.registered(), snapshots: maps.Clone(w.snapshots)}
+	return storeContent{config: w.config(), holders: holders, registered: w.registered(), snapshots: maps.Clone(w.snapshots),
+		evacuation: w.evacuationSet()}
 }
 
 // scheduleRestore schedules the next restore of the store.
@@ -79,6 +81,7 @@
 	d.number++
 	number := d.number
 	lost := d.copies[d.random.IntN(len(d.copies))]
+	lost.evacuation.Era = uint64(1 + d.number)
 	d.lost = &lost
 	var running []func() bool
 	for _, e := range w.entries {
@@ -92,6 +95,7 @@
 			d.lost.config = w.config()
 		}
 		w.deliverConfig()
+		w.rewriteEvacuation()
 	})
 	w.After(time.Duration(d.random.Int64N(int64(keysRepeat))), func() {
 		if number != d.number {
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -34,8 +34,9 @@
 		// start of the simulation, 0 if it has not.
 		drainAckedAt time.Duration
 		flows        map[segment.Flow]*heldFlow
-		running      int      // requests in slots
-		queue        []func() // starts each request that waits for a slot
+		running      int             // requests in slots
+		queue        []func()        // starts each request that waits for a slot
+		coldOpenings []time.Duration // of the last second of the warm-up, see checkOpening
 	}
 
 	// heldFlow is the state of a flow at an upstream.
@@ -116,6 +117,10 @@
 		f = &heldFlow{isn: w.random.Uint32(), wantSeq: h.Sequence + 1}
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
+		u.checkOpening()
+		if u.instance.domain != "" {
+			w.count("opened-" + u.instance.domain)
+		}
 	}
 	u.send(packet(h.Flow, true, segment.Open|segment.Ack, f.isn, h.Sequence+1, 0))
 }
@@ -167,7 +172,7 @@
 // coldFor returns the remaining time of the upstream's warm-up.
 func (u *upstream) coldFor() time.Duration {
 	w := u.instance.world
-	return max(0, w.cold.duration-(w.Now().Sub(time.UnixMilli(u.born))))
+	return max(0, w.cold.duration-(w.now()-u.coldSince()))
 }
 
 // finish sends the response to a request and starts the next one in the queue.
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -82,6 +82,8 @@
 		nodes          map[peer.Addr]node
 		snapshots      map[peer.Addr][]director.FlowSnapshot // the flow snapshot that each entry stored last
 		restores       storeRestores
+		evacuations    evacuations
+		domains        int // failure domains, see WithDomains
 		counts         map[string]int
 		heldAtFailure  int     // flows of the first upstream that failed, when it began to
 		addressCount   uint32  // addresses assigned so far
@@ -136,6 +138,7 @@
 		queueLength:   maxQueued,
 		snapshots:     make(map[peer.Addr][]director.FlowSnapshot),
 		counts:        make(map[string]int),
+		evacuations:   evacuations{since: make(map[string]time.Duration), last: make(map[string]time.Duration), ended: make(map[string]time.Duration)},
 	}
 	for _, o := range options {
 		o(w)
@@ -163,6 +166,8 @@
 //   - "reset-by-upstream": flows that a failing upstream reset
 //   - "strayed": packets of flows that the receiving upstream does not hold, if no
 //     route of the VIP has ever named its service
+//   - "evacuations": requests for the evacuation of a failure domain
+//   - "opened-" followed by a failure domain: flows that its upstreams accepted
 //   - "bytes": total size of the datagrams between processes, including lost ones
 //   - the events of director.Decision, and "agent-" followed by a relay.Event
 //
@@ -345,7 +350,7 @@
 		}
 		routes = append(routes, r)
 	}
-	return route.New(w.version, routes)
+	return route.New(w.version, routes, route.WithServices(w.services()...))
 }
 
 func (w *World) count(name string) { w.counts[name]++ }
--- a/internal/verb/bench_fleet.go
+++ b/internal/verb/bench_fleet.go
@@ -17,14 +17,17 @@
 time under random sequences of faults: stopped, killed, paused and partitioned
 processes, replaced and crashing upstreams, lost datagrams, configuration
 changes, and a power loss of all instances. Exit code 1 if an invariant was
-violated: a flow was broken, misrouted or opened at a draining upstream, or a
-datagram was malformed.
+violated: a flow was broken, misrouted, opened at a draining upstream or in an
+evacuated failure domain, a cold upstream got more flows than its limit, a domain
+stayed excluded after its evacuation, or a datagram was malformed.
 
   -first N   first seed (default 1)
   -seeds N   number of seeds (default 20)
   -loss P    share of datagrams between instances lost during the whole run
              (default 0)
   -store-restores  lets the store come back from an older copy every few seconds
+  -evacuations  requests and withdraws the evacuation of failure domains every
+             few seconds; their upstreams are cold afterwards, with a limit
   -departures N   instead runs a small simulation (two entries, three upstreams,
              one flow) with every combination of at most N departures from the
              undisturbed run: 2 takes half a minute, 3 some minutes
@@ -39,6 +42,7 @@
 	seeds         int
 	loss          float64
 	storeRestores bool
+	evacuations   bool
 	trace         bool
 	json          bool
 	// departures is the largest number of departures from the undisturbed run, or
@@ -63,6 +67,7 @@
 	flags.IntVar(&r.seeds, "seeds", 20, "")
 	flags.Float64Var(&r.loss, "loss", 0, "")
 	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
+	flags.BoolVar(&r.evacuations, "evacuations", false, "")
 	flags.IntVar(&r.departures, "departures", 0, "")
 	flags.StringVar(&r.replay, "replay", "", "")
 	flags.BoolVar(&r.trace, "trace", false, "")
@@ -97,6 +102,9 @@
 		if r.storeRestores {
 			options = append(options, fleetsim.WithStoreRestores(r.first+uint64(i)))
 		}
+		if r.evacuations {
+			options = append(options, fleetsim.WithEvacuations(r.first+uint64(i)))
+		}
 		result := fleetsim.RunRandom(r.first+uint64(i), options...)
 		passed := true
 		for _, invariant := range fleetsim.Invariants() {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -49,6 +49,7 @@
 			"roll":           adaptFleetCommand(eachEntry((*fleetsim.Entry).RestartGracefully)),
 			"crash-entry":    adaptFleetCommand(eachEntryFor((*fleetsim.Entry).Crash)),
 			"pause-entry":    adaptFleetCommand(eachEntryFor((*fleetsim.Entry).Pause)),
+			"uninform-entry": adaptFleetCommand(eachEntryFor((*fleetsim.Entry).Uninform)),
 			"drain":          adaptFleetCommand(eachInstanceFor((*fleetsim.Instance).Drain)),
 			"restart-agent":  adaptFleetCommand(eachInstanceFor((*fleetsim.Instance).RestartAgent)),
 			"crash-upstream": adaptFleetCommand(eachInstanceFor((*fleetsim.Instance).CrashUpstream)),
@@ -56,6 +57,8 @@
 			"power-off":      adaptFleetCommand(eachInstanceFor((*fleetsim.Instance).PowerCycle)),
 			"cut":            adaptFleetCommand(eachInstanceFor((*fleetsim.Instance).Partition)),
 			"vanish":         adaptFleetCommand(eachInstanceFor(func(i *fleetsim.Instance, _ time.Duration) { i.Disconnect() })),
+			"evacuate":       adaptFleetCommand(eachDomain((*fleetsim.World).Evacuate)),
+			"end-evacuation": adaptFleetCommand(eachDomain((*fleetsim.World).EndEvacuation)),
 			"all-power-off":  adaptFleetCommand(wholeFleetFor((*fleetsim.World).PowerCycle)),
 			"all-killed":     adaptFleetCommand(wholeFleetFor((*fleetsim.World).KillAll)),
 			"check":          adaptFleetCommand((*fleetScenario).check),
@@ -77,15 +80,21 @@
 	}
 }
 
-// newWorld starts a simulation. Arguments: the flags -seed and -loss.
+// newWorld starts a simulation. Arguments: the flags -seed, -loss, -domains (the number of
+// failure domains), -cold-start (the warm-up of an upstream) and -cold-rate (the openings a
+// second that it bears meanwhile).
 func (s *fleetScenario) newWorld(args []string) error {
 	flags := flag.NewFlagSet("fleet", flag.ContinueOnError)
 	seed := flags.Uint64("seed", 1, "")
 	loss := flags.Float64("loss", 0, "")
+	domains := flags.Int("domains", 0, "")
+	coldStart := flags.Duration("cold-start", 0, "")
+	coldRate := flags.Float64("cold-rate", 0, "")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	options := []fleetsim.Option{fleetsim.WithSeed(*seed), fleetsim.WithLoss(*loss)}
+	options := []fleetsim.Option{fleetsim.WithSeed(*seed), fleetsim.WithLoss(*loss), fleetsim.WithDomains(*domains),
+		fleetsim.WithColdStart(*coldStart, 1), fleetsim.WithColdRate(*coldRate)}
 	if os.Getenv("FLEET_TRACE") != "" {
 		options = append(options, fleetsim.WithTrace(os.Stderr))
 	}
@@ -232,6 +241,16 @@
 	}
 }
 
+// eachDomain returns a command that calls f for failure domains. Arguments: their names.
+func eachDomain(f func(*fleetsim.World, string)) fleetCommand {
+	return func(s *fleetScenario, args []string) error {
+		for _, name := range args {
+			f(s.world, name)
+		}
+		return nil
+	}
+}
+
 // wholeFleetFor returns a command that calls f for the whole fleet. Argument: a
 // duration.
 func wholeFleetFor(f func(*fleetsim.World, time.Duration)) fleetCommand {
