The soak evacuates a failure domain and reports openings there after the bound

Cause: evacuations were tried in virtual time only. Change: every second upstream of a site is in a second failure domain, which platform soak -evacuations evacuates at random times; the operator writes the request again when the store has come back from an older copy. A flow that an upstream of the domain accepts later than 5 s after the request fails the run.

--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -54,6 +54,9 @@
 		Resets int `json:"resets"`
 		// Broken counts the resets of flows that a running upstream held.
 		Broken int `json:"broken"`
+		// OpenedWhileEvacuated counts the flows that upstreams of an evacuated failure
+		// domain accepted after the bound.
+		OpenedWhileEvacuated int `json:"opened-while-evacuated"`
 		// FirstFlow is the flow that was opened first, in the form of the logs.
 		FirstFlow string `json:"first-flow"`
 		// StoreCalls counts the calls to the store by the first segment of their
@@ -209,6 +212,7 @@
 	}
 	r.taskErrors = nil
 	report := r.callers.report()
+	report.OpenedWhileEvacuated = r.site.openedWhileEvacuated()
 	report.StoreCalls = r.site.store.Calls()
 	return report, err
 }
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -80,6 +80,8 @@
 		// stops it.
 		startProcess func(role string, s *platform.Settings) (func() error, error)
 
+		evacuation evacuation
+
 		mu        sync.Mutex
 		entries   []*entryHost
 		upstreams []*upstream
@@ -138,11 +140,12 @@
 // settings returns the settings of a process on a host.
 func (s *site) settings(host netip.Addr) *platform.Settings {
 	return &platform.Settings{
-		Node: host.String(), Address: host, FailureDomain: "loopback", Service: service,
+		Node: host.String(), Address: host, FailureDomain: mainDomain, Service: service,
 		DatagramAddress: s.addrPort(host, portPackets), ReadyAddress: s.addrPort(host, portReady), ControlAddress: s.addrPort(host, portControl),
 		OutboundAddress: s.addrPort(host, portFromUpstream), UpstreamAddress: s.addrPort(host, portUpstream),
 		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: heartbeatInterval,
 		Grace: 6 * time.Second, ConfigApply: 3 * time.Second, FlowLifetime: time.Minute, LeaseMin: time.Second,
+		EvacuateWithin: evacuationBound,
 	}
 }
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -45,6 +45,9 @@
 		Duration time.Duration
 		// StoreRestores lets the store come back from an older copy at times.
 		StoreRestores bool
+		// Evacuations requests the evacuation of a failure domain, with every second
+		// upstream, and withdraws it at random times.
+		Evacuations bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -75,8 +78,8 @@
 // while callers keep their flows open: it stops, pauses, reloads and kills the
 // processes, crashes upstreams or makes them reset their flows, and injects faults
 // into the store and into the connections to it. It returns an error if a flow was
-// reset while its upstream was running, or if requests were lost after the settle
-// time. With any error, the logs of the processes stay in the directory that the
+// reset while its upstream was running, if one was opened in an evacuated failure domain,
+// or if requests were lost after the settle time. With any error, the logs of the processes stay in the directory that the
 // error names.
 func Soak(ctx context.Context, c SoakConfig) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "hickoryhook-soak-")
@@ -118,8 +121,9 @@
 		return report, err
 	}
 	var failure error
-	if report.Broken > 0 || lost > 0 {
-		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d requests lost after the settle time", c.Seed, report.Broken, lost)
+	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || lost > 0 {
+		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests lost after the settle time",
+			c.Seed, report.Broken, report.OpenedWhileEvacuated, lost)
 	}
 	if c.HTMLReport != nil {
 		err = k.timeline.writeReport(c.HTMLReport, fmt.Sprintf("Soak, seed %d", c.Seed), report, failure)
@@ -136,6 +140,9 @@
 	if c.StoreRestores {
 		running.Go(func() { k.restoreStoreUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
 	}
+	if c.Evacuations {
+		running.Go(func() { k.evacuateUntil(end, rand.New(rand.NewPCG(c.Seed, 3))) })
+	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
 		k.printf("%s", name)
@@ -165,6 +172,7 @@
 		k.site.store.SetFault(kvstandin.Healthy)
 		time.Sleep(below(operatorRepeat))
 		k.site.store.Set(platform.ConfigKey, config)
+		k.site.repeatEvacuation()
 	}
 }
 
@@ -239,7 +247,7 @@
 			"datagrams": s.DatagramAddress, "ready": s.ReadyAddress, "control": s.ControlAddress, "outbound": s.OutboundAddress,
 		},
 		"internal-ports": []uint16{s.PeerPort, s.PeerPort + 1}, "heartbeat-ms": s.HeartbeatInterval.Milliseconds(),
-		"bounds":   map[string]any{"grace-s": s.Grace.Seconds(), "config-apply-ms": s.ConfigApply.Milliseconds(), "flow-lifetime-s": s.FlowLifetime.Seconds()},
+		"bounds":   map[string]any{"grace-s": s.Grace.Seconds(), "config-apply-ms": s.ConfigApply.Milliseconds(), "flow-lifetime-s": s.FlowLifetime.Seconds(), "evacuate-ms": s.EvacuateWithin.Milliseconds()},
 		"platform": map[string]any{"address": p.address(), "ttl-min-ms": s.LeaseMin.Milliseconds()},
 	})
 	if err != nil {
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -55,6 +55,9 @@
 // startUpstream starts upstream number n, from 0, and its agent.
 func (s *site) startUpstream(n int, seed uint64) (*upstream, error) {
 	settings := s.settings(s.host(byte(firstUpstream + n)))
+	if n%2 == 1 {
+		settings.FailureDomain = annexDomain
+	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.UpstreamAddress))
 	if err != nil {
 		return nil, errors.Wrap(err, "open the upstream's socket")
@@ -252,6 +255,7 @@
 		f = &heldFlow{isn: u.random.Uint32(), wantSeq: h.Sequence + 1}
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
+		u.site.checkOpening(u.settings.FailureDomain)
 		fallthrough
 	case h.Opens():
 		return u.packet(h.Flow, segment.Open|segment.Ack, f.isn, f.wantSeq, 0), nil
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -19,12 +19,15 @@
 paused, killed and restarted, upstreams crash or reset their flows, the stand-in
 for the store fails, and a proxy delays the connections to it, resets them, or
 stalls one or both directions. Exit code 1 if a flow was reset although its
-upstream was alive, or if requests are lost after the last fault has settled;
+upstream was alive, if one was opened in an evacuated failure domain later than
+5 s after the request, or if requests are lost after the last fault has settled;
 then the logs of the processes are kept.
 
   -seed N        random seed, which fixes the order of the faults (default 1)
   -for D         how long faults are injected (default 20s)
   -store-restores  lets the store come back from an older copy every few seconds
+  -evacuations   requests the evacuation of a failure domain, with every second
+                 upstream, and withdraws it every few seconds
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
@@ -38,6 +41,7 @@
 	seed          uint64
 	duration      time.Duration
 	storeRestores bool
+	evacuations   bool
 	callers       int
 	network       int
 	entries       int
@@ -51,6 +55,7 @@
 	flags.Uint64Var(&r.seed, "seed", 1, "")
 	flags.DurationVar(&r.duration, "for", 20*time.Second, "")
 	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
+	flags.BoolVar(&r.evacuations, "evacuations", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
@@ -90,10 +95,11 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, HTMLReport: page,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
 		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken},
+		{"flows opened in an evacuated domain", report.OpenedWhileEvacuated},
 	}))
 }
