--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -225,11 +225,8 @@
 		return
 	}
 	a.coldRateVersion = hello.ConfigVersion
-	a.setColdRate(hello.ColdRates[a.settings.Service])
-}
-
-// setColdRate sets the number of openings a second that the upstream bears while it is cold,
-// 0 if it is not limited.
-func (a *Agent) setColdRate(perSecond float64) {
-	a.coldRate = perSecond
+	if rate := hello.ColdRates[a.settings.Service]; rate != a.coldRate {
+		a.coldRate = rate
+		a.relay.SetColdLimit(rate)
+	}
 }
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -43,8 +43,9 @@
 
 	// agentHello is the last hello message to an agent.
 	agentHello struct {
-		at    time.Duration
-		count int // of hello messages to the agent so far
+		at          time.Duration
+		count       int   // of hello messages to the agent so far
+		incarnation int64 // of the agent, 0 if not known
 	}
 )
 
@@ -55,6 +56,11 @@
 func (h *agentHellos) take(now time.Duration, agent peer.Addr, interval time.Duration) (due, withEntries bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.takeLocked(now, agent, interval)
+}
+
+// takeLocked is take with h.mu held.
+func (h *agentHellos) takeLocked(now time.Duration, agent peer.Addr, interval time.Duration) (due, withEntries bool) {
 	last, ok := h.last[agent]
 	if ok && now-last.at < interval {
 		return false, false
@@ -63,6 +69,23 @@
 	return true, last.count%replyHelloEvery == 0
 }
 
+// takeReport is take for the reply to a report of an incarnation of the agent. An agent that
+// was restarted gets a reply at once: it knows neither the evacuated failure domains nor how
+// many openings a cold upstream bears.
+func (h *agentHellos) takeReport(now time.Duration, agent peer.Addr, incarnation int64) (due, withEntries bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if last := h.last[agent]; last.incarnation != 0 && last.incarnation != incarnation {
+		delete(h.last, agent)
+	}
+	if due, withEntries = h.takeLocked(now, agent, agentHelloInterval); due {
+		last := h.last[agent]
+		last.incarnation = incarnation
+		h.last[agent] = last
+	}
+	return due, withEntries
+}
+
 // takeUnknown returns those of the listed agents to which a hello message must be sent, as
 // they are not among the known ones, which are ordered by address.
 func (h *agentHellos) takeUnknown(now time.Duration, listed, known []peer.Addr) []peer.Addr {
@@ -112,7 +135,7 @@
 	if e.director.HandleReport(now, from, status) {
 		e.log.Info("agent heard", zap.Stringer("agent", from), zap.String("service", status.Service), zap.String("upstream", status.Upstream))
 	}
-	if due, withEntries := e.agentHellos.take(now, from, agentHelloInterval); due {
+	if due, withEntries := e.agentHellos.takeReport(now, from, status.Incarnation); due {
 		e.sendMessage(peer.Hello, e.helloToAgents(withEntries), from)
 	}
 	return nil
--- a/internal/fleet/hello_test.go
+++ b/internal/fleet/hello_test.go
@@ -53,6 +53,22 @@
 	is.True(withEntries) // the first reply after its return
 }
 
+// TestRestartedAgentIsGreetedAtOnce guards against a restarted agent that knows nothing of an
+// evacuation or of the limit of a cold upstream until the usual interval has passed.
+func TestRestartedAgentIsGreetedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newAgentHellos()
+	agent := testAddrs(1)[0]
+	due := func(now time.Duration, incarnation int64) bool {
+		due, _ := h.takeReport(now, agent, incarnation)
+		return due
+	}
+	is.True(due(time.Second, 7))
+	is.True(!due(1400*time.Millisecond, 7))
+	is.True(due(1500*time.Millisecond, 8))
+	is.True(!due(1900*time.Millisecond, 8))
+}
+
 // TestStartingEntryAsksFewOthersAtATime covers an entry of a large fleet: the replies of all
 // others at once would fill its link.
 func TestStartingEntryAsksFewOthersAtATime(t *testing.T) {
--- a/internal/fleet/operator_keys_test.go
+++ b/internal/fleet/operator_keys_test.go
@@ -15,6 +15,7 @@
 	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/relay"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -134,12 +135,13 @@
 func TestColdRateOfNewestConfiguration(t *testing.T) {
 	is := is.New(t)
 	a := &Agent{process: &process{settings: &platform.Settings{Service: "maklerlink"}}}
+	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, a)
 	for _, c := range []struct {
 		version uint64
 		rate    float64 // in the message
 		want    float64
 	}{{7, 20, 20}, {6, 0, 20}, {0, 0, 20}, {8, 5, 5}, {9, 0, 0}} {
 		a.followColdRate(peer.HelloMessage{ConfigVersion: c.version, ColdRates: map[string]float64{"maklerlink": c.rate, "other": 3}})
-		is.Equal(a.coldRate, c.want)
+		is.Equal(a.relay.Admission(0).ColdLimit, c.want)
 	}
 }
