fleetsim: entries write the list of agents, as in the product

The simulated list of agents renewed an agent's registration only when something read it. While the store held an older copy nothing read it, from 18.464 s to about 25 s. Agent 10.0.0.7 was cut off at 24.670 s, so it was missing from the list at 25.503 s and entry 10.0.0.13, which had heard no report of it, was settled without it.

Ruled out: a fault of the product. It has no registration of an agent that expires. The settled entry of rank 0 writes the agents that it knows as one value and writes it again in a new era of the store.

Change: the first running entry writes the agents that it knows to the simulated store each second while it is settled. An agent that is cut off stays listed until entries evict it (10 s), as in the product.

--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -85,6 +85,27 @@
 		}
 		return running()
 	})
+	w.Every(agentListInterval, agentListInterval, func() bool {
+		if running() && !e.paused {
+			e.writeAgents()
+		}
+		return running()
+	})
+}
+
+// writeAgents writes the agents that the entry knows to the store, as the product does: by
+// the running entry with the lowest address, and only while it is settled. A store that has
+// come back from an older copy gets the list, too.
+func (e *Entry) writeAgents() {
+	w := e.world
+	first := w.entries[slices.IndexFunc(w.entries, (*Entry).up)]
+	if first != e || !e.director.Settled(w.now()) {
+		return
+	}
+	w.registered = e.director.Agents()
+	if w.restores.lost != nil {
+		w.restores.lost.registered = w.registered
+	}
 }
 
 // Crash kills the entry and starts it again after the time down.
--- /dev/null
+++ b/internal/fleetsim/export_test.go
@@ -0,0 +1,11 @@
+package fleetsim
+
+// LoseStore replaces the content of the store by a copy of the present one, which no process
+// writes again until ReturnStore.
+func (w *World) LoseStore() {
+	lost := w.readStore()
+	w.restores.lost = &lost
+}
+
+// ReturnStore ends the effect of LoseStore.
+func (w *World) ReturnStore() { w.restores.lost = nil }
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -22,8 +22,7 @@
 	unreachable  bool          // without power, partitioned or disconnected
 	removed      bool          // its agent has stopped for good
 	sequence     uint64        // of the agent's last report
-	agentStarted time.Duration // since the start of the simulation, as lastRenewal
-	lastRenewal  time.Duration // of the agent's registration
+	agentStarted time.Duration // since the start of the simulation
 	upstream     *upstream     // nil while it does not run
 	slowFactor   float64       // of the upstream's processing time; 0 and 1: as usual
 }
@@ -38,21 +37,6 @@
 	return i
 }
 
-// registered returns the agents whose registration has not expired, without those
-// of removed instances. It renews that of each agent that runs and is reachable.
-func (w *World) registered() []peer.Addr {
-	var out []peer.Addr
-	for _, i := range w.instances {
-		if i.agentUp && !i.unreachable {
-			i.lastRenewal = w.now()
-		}
-		if !i.removed && w.now()-i.lastRenewal <= registrationTTL {
-			out = append(out, i.address)
-		}
-	}
-	return out
-}
-
 func (i *Instance) startUpstream() {
 	i.world.upstreamStarts++
 	i.upstream = newUpstream(i, fmt.Sprintf("u-%d", i.world.upstreamStarts), i.world.Now().UnixMilli())
--- a/internal/fleetsim/random_test.go
+++ b/internal/fleetsim/random_test.go
@@ -64,3 +64,9 @@
 		}
 	}
 }
+
+// TestInvariantsHoldForSeedsThatFailedWithStoreRestores runs a seed in which a flow was reset
+// because the simulated store had dropped its agent, see TestStoreListsAgentThatIsCutOff.
+func TestInvariantsHoldForSeedsThatFailedWithStoreRestores(t *testing.T) {
+	checkResult(t, fleetsim.RunRandom(990141, fleetsim.WithStoreRestores(990141)))
+}
--- a/internal/fleetsim/store_restore.go
+++ b/internal/fleetsim/store_restore.go
@@ -60,7 +60,7 @@
 		return *w.restores.lost
 	}
 	holders := maps.Clone(w.holders)
-	return storeContent{config: w.config(), holders: holders, registered: w.registered(), snapshots: maps.Clone(w.snapshots)}
+	return storeContent{config: w.config(), holders: holders, registered: w.registered, snapshots: maps.Clone(w.snapshots)}
 }
 
 // scheduleRestore schedules the next restore of the store.
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -37,8 +37,8 @@
 	startupReportInterval = 50 * time.Millisecond  // the same during startupReportPeriod
 	startupReportPeriod   = 2 * time.Second        // after the start of an agent
 	tickInterval          = 100 * time.Millisecond // between the Tick calls of an entry or agent
-	registrationTTL       = 5 * time.Second        // of an agent's registration without renewal
 	registryPollInterval  = time.Second            // at which an entry reads the registered agents
+	agentListInterval     = time.Second            // at which the first entry writes the registered agents
 	probeInterval         = 500 * time.Millisecond // between the routers' health checks of an entry
 	minDelay              = 100 * time.Microsecond // one way between instances
 	maxDelay              = 700 * time.Microsecond
@@ -69,6 +69,7 @@
 		routes         map[netip.AddrPort][]route.Share
 		allowed        map[netip.AddrPort]map[string]bool // services that a route of the VIP has ever named
 		holders        map[netip.AddrPort][]string        // services that may hold flows of the VIP
+		registered     []peer.Addr                        // the agents in the store, see Entry.writeAgents
 		instances      []*Instance
 		entries        []*Entry
 		callers        int // added so far, for their addresses
