director: late copies of an opening neither reset nor place a flow in use

Cause: a copy of an opening that was returned late reset the flow, or placed it again, unless the entry had received the owner's announcement. If that was lost and the caller had sent its request, or if the entry had restarted since, the request may have run. An entry also reset a flow that a new start of an upstream held: the agent announced it with the last start before the first heartbeat, and the second announcement was lost or arrived after the report.

Ruled out: that such a reset lets a caller repeat a request. Callers take a reset for "not run" only before they have got the answer to an opening, and they send no data before that.

Change: a returned opening is dropped if the flow is not cached, or if the caller has sent other packets of it since. A flow that was announced within the last second is not reset for a new start; its start is unknown then, and its next packet finds out.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -67,7 +67,7 @@
 		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
 	rec.owner, rec.startID, rec.open, rec.searching = from, o.Start, true, false
-	rec.stages, rec.gone = nil, nil
+	rec.stages, rec.gone, rec.ownedAt = nil, nil, now
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -90,7 +90,8 @@
 // handleReturnedDelivery handles a packet that an agent returned because it does not
 // hold the flow, although it was recorded as the owner. It sends the packet to another
 // owner that has been recorded in the meantime. If there is none, it places an opening
-// again, or drops it if its VIP has no route; for any other packet it starts a search.
+// again, or drops it if its VIP has no route or the caller has sent other packets of the flow;
+// for any other packet it starts a search.
 func (d *Director) handleReturnedDelivery(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
 	if rec != nil && rec.gone != nil && !h.Opens() {
@@ -102,6 +103,9 @@
 		return
 	}
 	if h.Opens() {
+		if rec != nil && rec.isLateCopy(h) {
+			return
+		}
 		if r, ok := d.config.Load().Lookup(h.Flow.VIP()); ok {
 			d.placeFlow(now, s, h, r, f.Packet)
 		}
@@ -164,7 +168,10 @@
 }
 
 // resetOtherStarts resets the cached flows that belong to other known starts of the owner's
-// upstream than the given one, see markGone; 0 means that no upstream runs.
+// upstream than the given one, see markGone; 0 means that no upstream runs. A new start may
+// have accepted flows before its first heartbeat, which were announced with the identifier of
+// the last start, and a datagram with the right one may be lost or late: the start of a flow
+// that was announced within startUncertainty is unknown then.
 func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
 	for i := range d.shards {
 		s := &d.shards[i]
@@ -172,9 +179,14 @@
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
 			rec := s.flows[flow]
-			if rec.owner == owner && rec.startID != 0 && rec.startID != start {
-				d.markGone(now, s, flow, rec)
+			if rec.owner != owner || rec.startID == 0 || rec.startID == start {
+				continue
+			}
+			if start != 0 && rec.ownedAt > 0 && now-rec.ownedAt < startUncertainty {
+				rec.startID = 0
+				continue
 			}
+			d.markGone(now, s, flow, rec)
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -57,6 +57,10 @@
 	// closedRetention is how long after its last packet a flow that its caller has
 	// closed stays cached, for late packets of the close. Agents use the same time.
 	closedRetention = 5 * time.Second
+	// startUncertainty is the time after an agent's announcement of a flow within which
+	// the agent may not have known yet that its upstream was another start. Upstreams send
+	// a heartbeat at their start and once a second or more often.
+	startUncertainty = time.Second
 )
 
 // The events of a director's decisions.
@@ -184,6 +188,8 @@
 		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
 		lastSeen     time.Duration // time of the last packet or Owned message
 		waitingPlace waitingPlace  // of an opening that was returned
+		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
+		opening      uint32        // sequence number of the opening that was placed, 0 if unknown
 		created      time.Duration // when the flow was last placed, else when the record was added
 	}
 
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -59,21 +59,20 @@
 		d.refuseOpening(now, h)
 		return
 	}
-	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
+	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, opening: h.Sequence, lastSeen: now, created: now}
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
 	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Stage: chosenStage, Packet: packet})
 }
 
 // handleReturnedOpening handles an opening that none of its candidates accepted: it is
 // offered in the next stage that has candidates. After the last one the flow is reset. An
-// opening that waited at an agent that stops is placed again. A copy of the opening that is returned after an agent has accepted another one is
-// dropped.
+// opening that waited at an agent that stops is placed again. A copy of the opening is dropped
+// if an agent may have accepted another one: see flowRecord.mayBeAccepted. It is also dropped
+// if the flow is not cached, as an earlier process placed it or its caller has been refused:
+// the caller sends the opening again if it still waits.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec == nil || rec.gone != nil {
-		rec = &flowRecord{}
-	}
-	if rec.open {
+	if rec == nil || rec.mayBeAccepted() {
 		return
 	}
 	if f.Stage == waitingStage && !d.members.usable(now, rec.owner) {
@@ -100,6 +99,21 @@
 	d.reset(NotAccepted, h, len(f.Candidates))
 }
 
+// mayBeAccepted reports whether an upstream may have accepted the flow: its agent has
+// announced it, or the caller has sent packets that only follow an accepted opening, also if
+// the announcement was lost. A reset would then not prove that no request has run.
+func (r *flowRecord) mayBeAccepted() bool {
+	return r.open || r.searching || r.gone != nil || r.acknowledged != 0
+}
+
+// isLateCopy reports whether an opening is a copy of the one that was accepted: its caller
+// has sent other packets of the flow since. Another opening with the same addresses has
+// another sequence number.
+func (r *flowRecord) isLateCopy(h segment.Header) bool {
+	established := r.searching || r.acknowledged != 0
+	return established && !r.closed && (h.Acknowledged > 0 || r.opening == h.Sequence)
+}
+
 // openingStage returns a frame with the service, the candidates and the conditions of a
 // stage after the first one. f is the frame of the last stage.
 func (d *Director) openingStage(now time.Duration, stage int, rec *flowRecord, f *peer.Frame, h segment.Header) peer.Frame {
