relay: late heartbeats, late bounced packets and openings of a stopped entry

Causes: an agent that was paused may handle an upstream's last heartbeat after its deregistration; the upstream then got new flows again. The tags of delivered packets begin at 1 in each process, so a packet that the last process delivered and the upstream bounced late got the candidates and the search round of another flow's packet. An opening that waits beside the upstream was returned to the entry that had sent it, also if that had ended and a retransmission had come through another entry.

Changes: a heartbeat of a start that has deregistered is ignored for 3 s, if the start is known. The context of a delivered packet holds its flow. A retransmission of a waiting opening moves it to the entry that sent it.

--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -49,10 +49,11 @@
 // hold the flow or does not accept a new one. The frame is restored from the
 // context that deliver stored under the packet's tag. The flow is removed from the
 // table, unless the packet is a retransmitted opening of a flow that the upstream
-// has accepted. A packet without a context is dropped, see BouncedWithoutContext.
+// has accepted. A packet without a context is dropped, see BouncedWithoutContext. So is one
+// whose tag an earlier process gave it and this one has given to a packet of another flow.
 func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
 	c := &r.contexts[h.Tag%contextCount]
-	if c.tag != h.Tag || c.kind == 0 {
+	if c.tag != h.Tag || c.flow != h.Flow || c.kind == 0 {
 		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
 		return
 	}
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -58,7 +58,7 @@
 		r.deliver(now, f, h, s) // a retransmission: the upstream answers it again
 		return
 	}
-	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow }) {
+	if r.updateWaiting(f, h) {
 		return // a retransmission
 	}
 	switch r.admit(now, f) {
@@ -112,8 +112,30 @@
 	r.deliver(now, f, h, s)
 }
 
-// delay lets the opening wait for the upstream, and informs the entry, which sends
-// retransmissions of the opening here. If too many wait, the frame is forwarded.
+// updateWaiting reports whether an opening of the flow waits for the upstream. If the
+// retransmitted one came from another entry, as after a restart of the first, the opening is
+// returned to that one.
+func (r *Relay) updateWaiting(f *peer.Frame, h segment.Header) bool {
+	return r.waiting.Contains(func(w *waitingOpening) bool {
+		if w.header.Flow != h.Flow {
+			return false
+		}
+		if w.frame.Entry != f.Entry {
+			w.frame.Entry = f.Entry
+			r.announceWaiting(h.Flow, f.Entry)
+		}
+		return true
+	})
+}
+
+// announceWaiting informs an entry that an opening waits here, so that it sends
+// retransmissions of the opening here.
+func (r *Relay) announceWaiting(flow segment.Flow, entry peer.Addr) {
+	r.buf = peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Waiting: true}.Append(r.buf[:0])
+	r.port.ToProcess(entry, r.buf)
+}
+
+// delay lets the opening wait for the upstream, and informs the entry. If too many wait, the frame is forwarded.
 func (r *Relay) delay(now time.Duration, f *peer.Frame, h segment.Header) {
 	w := &waitingOpening{frame: *f, header: h, since: now}
 	w.frame.Packet, w.frame.Candidates = slices.Clone(f.Packet), slices.Clone(f.Candidates)
@@ -122,8 +144,7 @@
 		return
 	}
 	r.port.RecordDecision(Delayed, h.Flow, f)
-	r.buf = peer.OwnerMessage{Kind: peer.Owned, Flow: h.Flow, Waiting: true}.Append(r.buf[:0])
-	r.port.ToProcess(f.Entry, r.buf)
+	r.announceWaiting(h.Flow, f.Entry)
 }
 
 // serveWaiting offers waiting openings while the upstream has room for them. It returns
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,6 +54,10 @@
 	// as a new one: the instance's clock may have been set back. It exceeds
 	// three heartbeat intervals.
 	olderStartSilence = 3 * time.Second
+	// lateHeartbeat is how long after its deregistration a heartbeat of the same start of
+	// the upstream is ignored. An agent that was paused may handle the two calls in either
+	// order. An upstream that goes on after all is used again after that time.
+	lateHeartbeat = 3 * time.Second
 	// deregistrationGrace is the time after its deregistration from which an
 	// upstream counts as ended. It exits at once; this covers late timers.
 	deregistrationGrace = 150 * time.Millisecond
@@ -163,6 +167,7 @@
 	// deliveryContext holds the fields of a frame whose packet was delivered to
 	// the upstream, to restore the frame if the upstream bounces the packet.
 	deliveryContext struct {
+		flow       segment.Flow
 		forced     bool
 		best       int
 		bestLoad   uint8
@@ -321,7 +326,7 @@
 	r.recordCallerPacket(now, f, h, s)
 	r.lastTag++
 	c := &r.contexts[r.lastTag%contextCount]
-	c.tag, c.kind, c.uncertain = r.lastTag, f.Kind, f.Uncertain
+	c.tag, c.flow, c.kind, c.uncertain = r.lastTag, h.Flow, f.Kind, f.Uncertain
 	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.patience = f.Patience
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -31,6 +31,7 @@
 	now   time.Duration
 	out   []string
 	last  []byte // the last packet delivered to the upstream
+	kept  []byte // the packet that "keep" has kept
 }
 
 func (r *harness) ToUpstream(packet []byte) {
@@ -102,13 +103,15 @@
 //
 //	heartbeat ID SEQUENCE [draining] [born N] [age MILLISECONDS]   from the upstream
 //	deregister ID | ended | stop | tick SECONDS | wait MILLISECONDS | assume-ready
+//	restart                          the agent starts again, without state
 //	place N [best I LOAD] [forced] [patience MILLISECONDS] [priority P] [service NAME] [last]
-//	                                 an opening of caller N
+//	        [second-entry]           an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME] [last]   a packet of caller N
 //	accept N SEQ | answer N BYTES | reset N                the upstream's packets
 //	owner-query N ACK                an entry asks which agent's upstream holds the
 //	                                 flow of caller N
 //	bounce                           the upstream bounces the last packet delivered to it
+//	keep | bounce-kept               keeps that packet, which the upstream bounces later
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -120,7 +123,7 @@
 			text, err := os.ReadFile(file)
 			is.NoErr(err)
 			r := &harness{}
-			r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r)
+			r.start()
 			for n, line := range strings.Split(string(text), "\n") {
 				words := strings.Fields(line)
 				if len(words) == 0 || words[0] == "#" {
@@ -139,6 +142,11 @@
 	}
 }
 
+// start creates the relay.
+func (r *harness) start() {
+	r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r)
+}
+
 // number returns the integer at index i, 0 if there is none.
 func number(words []string, i int) int {
 	if i >= len(words) {
@@ -167,6 +175,8 @@
 		r.relay.HandleDeregistration(r.now, words[1])
 	case "stop":
 		r.relay.Stop(r.now)
+	case "restart":
+		r.start()
 	case "ended":
 		r.relay.MarkEnded(r.now)
 	case "assume-ready":
@@ -191,6 +201,11 @@
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Ack, 0, 0, number(words, 2)))
 	case "reset":
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Reset, 0, 0, 0))
+	case "keep":
+		r.kept = r.last
+	case "bounce-kept":
+		platform.MarkBounced(r.kept)
+		return r.fromUpstream(r.kept)
 	case "bounce":
 		platform.MarkBounced(r.last)
 		return r.fromUpstream(r.last)
@@ -226,6 +241,8 @@
 		case "priority":
 			f.Priority = uint8(number(words, i+1))
 			i++
+		case "second-entry":
+			f.Entry = peer.Addr{10, 0, 1, 2}
 		case "last":
 			f.Candidates = []peer.Addr{{10, 0, 0, 2}, {10, 0, 0, 1}}
 			f.Hop = 1
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -12,7 +12,7 @@
 
 // HandleHeartbeat records the state that the upstream reported. A heartbeat that
 // is not newer than the last one of the same start is ignored, unless its sequence
-// is 0, and so is a delayed one of an earlier start. The first heartbeat of a new
+// is 0, and so is a delayed one of an earlier start or of one that has deregistered. The first heartbeat of a new
 // start after a known one resets the flows of that one and puts the upstream on trial.
 // HandleHeartbeat reports whether the agent should send its status to other
 // processes at once: if this is the first heartbeat of a start, or since the upstream
@@ -25,6 +25,8 @@
 	switch {
 	case same && u.Sequence <= r.upstream.Sequence && u.Sequence > 0:
 		return false
+	case same && u.Born != 0 && r.deregistered && now-r.deregisteredAt <= lateHeartbeat:
+		return false
 	case !same && r.startID != 0 && u.Born < r.upstream.Born && now-r.lastHeartbeatAt <= olderStartSilence:
 		return false // a delayed heartbeat of an earlier start
 	}
