fleet: planned stops answer accepted calls; hand-overs leave no stale writes

Changes: processes answer the calls that they have accepted, for at most 100 ms. An agent closes its control address before its goodbye message. Hello messages of an incarnation that has said goodbye are ignored. A collector drops flows after 1.6 s. An entry writes the holders once when it becomes the one of rank 0, if it is settled. A lease is kept until its registration is written.

Ruled out: a write of the agents by an entry that resumes, as it is not settled before it has new reports.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -80,6 +80,10 @@
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	a.entries.add(a.now(), a.seeds()...)
+	controlCtx, stopControl := context.WithCancel(taskCtx)
+	defer stopControl()
+	control := a.httpTask(a.settings.ControlAddress, a.controlHandler())
+	controlEnded := make(chan struct{})
 	tasks := []task{
 		{"peers", func(context.Context) error { return a.receive(a.peerConn, a.handlePeerDatagram) }},
 		{"upstream", func(context.Context) error { return a.receive(a.upstreamConn, a.handleUpstreamPacket) }},
@@ -92,7 +96,10 @@
 			"admission": func() any { return a.relay.Admission(a.now()) },
 			"flows":     func() any { held, _ := a.relay.Flows(); return held },
 		}),
-		a.httpTask(a.settings.ControlAddress, a.controlHandler()),
+		{control.name, func(context.Context) error {
+			defer close(controlEnded)
+			return control.run(controlCtx)
+		}},
 		a.httpTask(a.settings.ReadyAddress, readyHandler(func() bool { return true })),
 	}
 	// Before any line of the tasks: it marks where the lines of this process begin.
@@ -107,6 +114,8 @@
 	case failure = <-ends:
 		running--
 	}
+	stopControl()
+	<-controlEnded // a deregistration that was accepted decides about the goodbye message
 	a.stop()
 	cancel()
 	for range running {
--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -39,8 +39,12 @@
 	maxSavedFlowsBytes = 64 << 10
 )
 
-// errStoreUnavailable reports a collector that did not get the flows into the store.
-var errStoreUnavailable = errors.New("the store does not answer the collector")
+var (
+	// errStoreUnavailable reports a collector that did not get the flows into the store.
+	errStoreUnavailable = errors.New("the store does not answer the collector")
+	// errBatchOutdated reports flows that a collector has dropped, see flowCollector.run.
+	errBatchOutdated = errors.New("the flows have waited too long to be written")
+)
 
 type (
 	// flowCollector writes the saved flows of the entries of a failure domain to the
@@ -54,6 +58,7 @@
 
 	// flowBatch holds the flows that are written together.
 	flowBatch struct {
+		begun   time.Time            // when the first flows were added
 		values  map[peer.Addr][]byte // encoded flows by entry
 		written chan struct{}        // closed after the write
 		era     uint64               // of the store, before the write
@@ -70,7 +75,7 @@
 func (c *flowCollector) add(ctx context.Context, entry peer.Addr, value []byte) (era uint64, err error) {
 	c.mu.Lock()
 	if c.batch == nil {
-		c.batch = &flowBatch{values: make(map[peer.Addr][]byte), written: make(chan struct{})}
+		c.batch = &flowBatch{begun: time.Now(), values: make(map[peer.Addr][]byte), written: make(chan struct{})}
 		c.started <- struct{}{}
 	}
 	b := c.batch
@@ -84,7 +89,9 @@
 	}
 }
 
-// run writes the batches until the context ends.
+// run writes the batches until the context ends. It drops one that is older than
+// collectTimeout, as after a pause of this process: the entries have turned to another
+// collector, which may have written newer flows.
 func (c *flowCollector) run(ctx context.Context) error {
 	for {
 		select {
@@ -97,8 +104,10 @@
 		b := c.batch
 		c.batch = nil
 		c.mu.Unlock()
-		b.era = c.store.Era()
-		b.err = c.write(ctx, b.values)
+		b.era, b.err = c.store.Era(), errBatchOutdated
+		if time.Since(b.begun) < collectTimeout {
+			b.err = c.write(ctx, b.values)
+		}
 		close(b.written)
 	}
 }
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -30,32 +30,44 @@
 // writeHolders keeps in the store, for each VIP, the services that may hold
 // flows of the VIP. An open flow stays with its service even if the newest
 // configuration no longer names that service, so an entry that starts while no
-// other is running needs this record. Only the entry of rank 0 writes; the others
-// drop the request once they know the record.
+// other is running needs this record. Only the entry of rank 0 writes. It also writes once
+// when it becomes that entry: the last one may have ended with a write outstanding.
 func (c *configSync) writeHolders(ctx context.Context) error {
+	requested, written := false, false // written: since the rank has been 0
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-c.holdersPending:
+			requested = true
+		case <-time.After(holdersWriteInterval):
 		}
-		// Until this entry has read the record or received it from another entry,
-		// its own may be incomplete and must not replace the one in the store.
-		_, known := c.director.Registered()
-		switch {
-		case !known:
-			c.requestHoldersWrite()
-		case c.rank() == 0:
-			if err := c.putHolders(ctx); err != nil {
-				c.log.Warn("flow holders not written", daemon.Err(err))
-				c.requestHoldersWrite()
-			}
+		if c.rank() != 0 {
+			requested, written = false, false
+			continue
 		}
+		if !c.mayWriteHolders(requested, written) {
+			continue
+		}
+		if err := c.putHolders(ctx); err != nil {
+			c.log.Warn("flow holders not written", daemon.Err(err))
+			continue
+		}
+		requested, written = false, true
 		sleep(ctx, holdersWriteInterval)
 	}
 	return nil
 }
 
+// mayWriteHolders reports whether the flow holders are to be written and those of this entry
+// may replace the record in the store. Until it has read the record or received it from
+// another entry, its own may be incomplete. Without a request they are written only while the
+// entry is settled: one that was paused takes itself for the one of rank 0 at first.
+func (c *configSync) mayWriteHolders(requested, written bool) bool {
+	_, known := c.director.Registered()
+	return known && (requested || !written && c.director.Settled(c.now()))
+}
+
 // putHolders writes the flow holders to the store.
 func (c *configSync) putHolders(ctx context.Context) error {
 	value, err := json.Marshal(c.director.Holders())
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -49,6 +49,10 @@
 	// headerTimeout bounds how long a client of the process's HTTP servers may
 	// take to send its headers.
 	headerTimeout = 2 * time.Second
+	// httpStopTimeout bounds the time for which a process that ends answers the HTTP calls
+	// that it has accepted: heartbeats, probes and calls of other entries, all of which
+	// usually take less than a millisecond.
+	httpStopTimeout = 100 * time.Millisecond
 	// storeTimeout bounds the calls to the store of one operation, except a watch
 	// and the last call of an entry, and bounds an HTTP call to another entry. A
 	// call to the store usually takes 4 ms, and 60 times as long when it is slow.
@@ -92,6 +96,7 @@
 		lastHello   time.Duration // 0 before the first
 		added       time.Duration // when the address became known
 		active      bool          // a hello message has arrived since the last goodbye message
+		stopped     bool          // the incarnation has sent a goodbye message
 		incarnation int64
 		domain      string // failure domain
 		ready       bool
@@ -230,7 +235,7 @@
 	}
 }
 
-// httpTask returns a task that serves HTTP on an address.
+// httpTask returns a task that serves HTTP on an address, see serveHTTP.
 func (p *process) httpTask(address netip.AddrPort, handler http.Handler) task {
 	return task{name: "http " + address.String(), run: func(ctx context.Context) error {
 		listener, err := net.Listen("tcp4", address.String())
@@ -238,15 +243,37 @@
 			return errors.Wrap(err, "listen")
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve")
-		}
-		return nil
+		return serveHTTP(ctx, server, listener)
 	}}
 }
 
+// serveHTTP serves HTTP until the context ends, and then answers the calls that the server
+// has accepted, for at most httpStopTimeout.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return ignoreClosed(err)
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
+	defer cancel()
+	var err error
+	if server.Shutdown(stopCtx) != nil {
+		err = server.Close()
+	}
+	return errors.Join(err, ignoreClosed(<-served))
+}
+
+// ignoreClosed returns the error with which an HTTP server has ended, nil if it was closed.
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
 // every returns a function that calls f at an interval, for the first time after
 // one interval, until the context ends.
 func every(interval time.Duration, f func()) func(ctx context.Context) error {
@@ -341,8 +368,9 @@
 	return added
 }
 
-// recordHello records a hello message. It reports whether the sender is new: it
-// was not alive before, or has been restarted.
+// recordHello records a hello message, unless its incarnation has sent a goodbye message: it
+// was late then. It reports whether the sender is new: it was not alive before, or has been
+// restarted.
 func (s *entrySet) recordHello(now time.Duration, from peer.Addr, hello peer.HelloMessage) (isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -351,21 +379,25 @@
 		e = &entryInfo{added: now}
 		s.byAddr[from] = e
 	}
+	if e.stopped && e.incarnation == hello.Incarnation {
+		return false
+	}
 	isNew = !e.active || now-e.lastHello > s.timeout || e.incarnation != hello.Incarnation
 	if hello.Ready && !e.ready {
 		e.readySince = now
 	}
-	e.lastHello, e.active, e.incarnation = now, true, hello.Incarnation
+	e.lastHello, e.active, e.stopped, e.incarnation = now, true, false, hello.Incarnation
 	e.domain, e.ready = hello.FailureDomain, hello.Ready
 	return isNew
 }
 
-// markStopped marks an entry as stopped until its next hello message. It
+// markStopped marks an entry as stopped until the first hello message of its next start. It
 // ignores the address of a process that is not a known entry.
 func (s *entrySet) markStopped(a peer.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.byAddr[a]; ok {
+		e.stopped = e.stopped || e.active
 		e.active, e.ready = false, false
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -89,15 +89,20 @@
 	p.log.Warn("unexpected key in the store", zap.String("key", item.Key))
 }
 
+// registration is the registration of an entry in the store.
+type registration struct {
+	lease   platform.Lease // zero if there is none
+	written bool           // the store has acknowledged the key with the lease
+}
+
 // register keeps the registration of an entry in the store until the context
 // ends, and then removes it.
 func (e *Entry) register(ctx context.Context) error {
-	var lease platform.Lease
-	lost, missing := false, false
+	var r registration
+	lost := false
 	for ctx.Err() == nil {
-		var err error
 		era := e.eras.era()
-		lease, err = e.renew(ctx, lease, missing)
+		err := e.renew(ctx, &r)
 		if err != nil && !lost && ctx.Err() == nil {
 			e.log.Warn("registration not renewed", daemon.Err(err))
 		}
@@ -109,9 +114,11 @@
 		if lost {
 			pause = renewRetryDelay
 		}
-		missing = e.awaitRenewal(ctx, era, pause)
+		if e.awaitRenewal(ctx, era, pause) {
+			r.written = false
+		}
 	}
-	e.unregister(lease)
+	e.unregister(r.lease)
 	return nil
 }
 
@@ -147,31 +154,37 @@
 	}
 }
 
-// renew renews the lease of the registration, and writes the registration again if it is
-// missing. If there is no lease, or the store no longer has it, renew writes a new
-// registration. It returns the lease to renew next, zero if there is none.
-func (p *process) renew(ctx context.Context, lease platform.Lease, missing bool) (platform.Lease, error) {
+// renew renews the lease of the registration, and writes the registration unless it is
+// written. If there is no lease, or the store no longer has it, renew obtains one. It keeps a
+// lease whose registration was not acknowledged: the write may be applied late, and the end
+// of a lease that nobody renews would delete the key.
+func (p *process) renew(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if lease != (platform.Lease{}) {
+	if r.lease != (platform.Lease{}) {
 		p.metrics.increment("store-renewals")
-		err := p.store.Renew(ctx, lease)
-		if err == nil && missing {
-			err = p.putRegistration(ctx, lease)
-		}
-		if err == nil || !errors.Is(err, platform.ErrNotFound) {
-			return lease, err
+		err := p.store.Renew(ctx, r.lease)
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			*r = registration{}
+		case err != nil:
+			return err
 		}
 	}
-	p.metrics.increment("store-writes")
-	lease, _, err := p.store.Grant(ctx, max(registrationTTL, p.settings.LeaseMin))
-	if err != nil {
-		return platform.Lease{}, err
+	if r.lease == (platform.Lease{}) {
+		p.metrics.increment("store-writes")
+		lease, _, err := p.store.Grant(ctx, max(registrationTTL, p.settings.LeaseMin))
+		if err != nil {
+			return err
+		}
+		r.lease = lease
 	}
-	if err := p.putRegistration(ctx, lease); err != nil {
-		return platform.Lease{}, err
+	if r.written {
+		return nil
 	}
-	return lease, nil
+	err := p.putRegistration(ctx, r.lease)
+	r.written = err == nil
+	return err
 }
 
 // putRegistration writes the registration with the lease.
