fleetsim: requests that must not be repeated run at most once

The invariant ran-twice counts those that upstreams begin to process more than once, over all attempts of a caller.

--- a/internal/fleetsim/caller.go
+++ b/internal/fleetsim/caller.go
@@ -41,6 +41,20 @@
 		idempotent    bool          // a request that may have run is retried
 		kind          *Kind         // nil unless the caller is one of AddLoad
 		request       *Request      // the current one of a caller of AddLoad
+		runs          *requestRuns  // of the current request
+	}
+
+	// requestRuns counts how often upstreams have begun to process a request, in all its
+	// attempts. repeatable means that it may be more than once.
+	requestRuns struct {
+		count      int
+		repeatable bool
+	}
+
+	// requestPacket identifies a request in an attempt: the flow and the sequence number.
+	requestPacket struct {
+		flow segment.Flow
+		seq  uint32
 	}
 )
 
@@ -66,7 +80,7 @@
 		return // the last request has not ended yet
 	}
 	w.count("asked")
-	c.requestedAt, c.retries = w.now(), 0
+	c.requestedAt, c.retries, c.runs = w.now(), 0, &requestRuns{repeatable: c.idempotent}
 	c.sendOrOpen()
 	c.requestNumber++
 	number := c.requestNumber
@@ -122,6 +136,7 @@
 // it is answered or lost.
 func (c *caller) sendRequest(copies int) {
 	flow, seq := c.flow, c.seq
+	c.world.sent[requestPacket{flow: flow, seq: seq}] = c.runs
 	c.world.sendToRouters(packet(flow, false, segment.Ack, c.seq, c.ack, requestBytes))
 	c.world.After(retransmitTimeout<<min(copies, 3), func() {
 		if c.flow == flow && c.seq == seq && c.state == waiting {
@@ -130,6 +145,16 @@
 	})
 }
 
+// recordRun counts that an upstream begins to process a request.
+func (w *World) recordRun(flow segment.Flow, seq uint32) {
+	w.count("ran")
+	r := w.sent[requestPacket{flow: flow, seq: seq}]
+	if r.count++; r.count > 1 && !r.repeatable {
+		w.tracef("request of flow %s ran again", flow)
+		w.count("ran-twice")
+	}
+}
+
 // sendToCaller delivers a packet to the caller that uses the flow, if any.
 func (w *World) sendToCaller(flow segment.Flow, b []byte) {
 	copied := append([]byte(nil), b...)
--- a/internal/fleetsim/random.go
+++ b/internal/fleetsim/random.go
@@ -58,10 +58,12 @@
 //   - "opened-while-draining": openings at an upstream later than 100 ms after
 //     its agent had acknowledged that it drains
 //   - "malformed": datagrams and packets that could not be decoded
+//   - "ran-twice": requests that must not be repeated and that upstreams began to process
+//     more than once
 //   - "config-outdated": a running entry kept an older configuration than configApplyTime
 //     allows
 func Invariants() []string {
-	return []string{"broken", "misrouted", "opened-while-draining", "malformed", "config-outdated"}
+	return []string{"broken", "misrouted", "opened-while-draining", "malformed", "ran-twice", "config-outdated"}
 }
 
 // RunRandom runs a random series of randomSteps disturbances, some of which
--- a/internal/fleetsim/upstream.go
+++ b/internal/fleetsim/upstream.go
@@ -96,7 +96,7 @@
 	}
 	f.wantSeq += uint32(h.Length)
 	f.busy = true
-	u.startOrQueue(h.Flow, f)
+	u.startOrQueue(h.Flow, f, h.Sequence)
 }
 
 // open accepts a flow, or answers a copy of its opening packet, and counts
@@ -122,11 +122,11 @@
 
 // startOrQueue starts a request if a slot is free, queues it otherwise, and
 // sheds it if the queue is full.
-func (u *upstream) startOrQueue(flow segment.Flow, f *heldFlow) {
+func (u *upstream) startOrQueue(flow segment.Flow, f *heldFlow, seq uint32) {
 	w := u.instance.world
 	run := func() {
 		u.running++
-		w.count("ran")
+		w.recordRun(flow, seq)
 		w.After(u.processingTime(flow), func() { u.finish(flow, f) })
 	}
 	if u.running < u.instance.slots {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -74,6 +74,7 @@
 		entries        []*Entry
 		callers        int // added so far, for their addresses
 		callersByFlow  map[segment.Flow]*caller
+		sent           map[requestPacket]*requestRuns // the requests that callers have sent
 		kinds          map[netip.AddrPort]*Kind
 		requests       []*Request      // of the callers of AddLoad
 		without        map[string]bool // mechanisms that are switched off, see WithoutMechanism
@@ -132,6 +133,7 @@
 		holders:       make(map[netip.AddrPort][]string),
 		nodes:         make(map[peer.Addr]node),
 		callersByFlow: make(map[segment.Flow]*caller),
+		sent:          make(map[requestPacket]*requestRuns),
 		kinds:         make(map[netip.AddrPort]*Kind),
 		without:       make(map[string]bool),
 		queueLength:   maxQueued,
