Soak: overlapping planned stops, and requests that run again

A fault stops two processes within a second of each other, also entries and agents together. Upstreams record the requests that they have run, and the soak fails if one runs again. The faults of a seed differ from those before, as there is one more kind.

--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -54,6 +54,9 @@
 		Resets int `json:"resets"`
 		// Broken counts the resets of flows that a running upstream held.
 		Broken int `json:"broken"`
+		// Repeated counts the times that an upstream ran a request that had run before. Callers
+		// send each request on one flow only.
+		Repeated int `json:"repeated"`
 		// FirstFlow is the flow that was opened first, in the form of the logs.
 		FirstFlow string `json:"first-flow"`
 		// StoreCalls counts the calls to the store by the first segment of their
@@ -209,7 +212,7 @@
 	}
 	r.taskErrors = nil
 	report := r.callers.report()
-	report.StoreCalls = r.site.store.Calls()
+	report.StoreCalls, report.Repeated = r.site.store.Calls(), r.site.requests.repeatedRuns()
 	return report, err
 }
 
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -83,6 +83,21 @@
 		mu        sync.Mutex
 		entries   []*entryHost
 		upstreams []*upstream
+
+		requests requestLog
+	}
+
+	// requestLog records the requests that upstreams have run.
+	requestLog struct {
+		mu       sync.Mutex
+		ran      map[requestID]bool
+		repeated int // see Report.Repeated
+	}
+
+	// requestID identifies a request by its flow and sequence number.
+	requestID struct {
+		flow     segment.Flow
+		sequence uint32
 	}
 
 	// entryHost is an entry with its state in the routers' health checks.
@@ -101,7 +116,7 @@
 
 // newSite starts the store with a configuration that routes vip to the service.
 func newSite(network byte, log *zap.Logger) (*site, error) {
-	s := &site{network: network, store: kvstandin.New(), log: log}
+	s := &site{network: network, store: kvstandin.New(), log: log, requests: requestLog{ran: make(map[requestID]bool)}}
 	s.startProcess = s.runInProcess
 	listener, err := net.Listen("tcp4", s.host(storeHost).String()+":0")
 	if err != nil {
@@ -292,3 +307,23 @@
 		f(buf[:n])
 	}
 }
+
+// recordRun records that an upstream runs a request. It reports whether one has run it before.
+func (l *requestLog) recordRun(flow segment.Flow, sequence uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := requestID{flow: flow, sequence: sequence}
+	again := l.ran[id]
+	if again {
+		l.repeated++
+	}
+	l.ran[id] = true
+	return again
+}
+
+// repeatedRuns returns Report.Repeated.
+func (l *requestLog) repeatedRuns() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.repeated
+}
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -33,6 +33,7 @@
 	maxStoreAway    = 500 * time.Millisecond // before it comes back
 	operatorRepeat  = 500 * time.Millisecond // at most, until the operator has written its configuration again
 	killTimeout     = 7 * time.Second        // from SIGTERM to SIGKILL
+	maxStopGap      = time.Second            // between two planned stops that overlap: an entry takes longer
 )
 
 type (
@@ -75,8 +76,8 @@
 // while callers keep their flows open: it stops, pauses, reloads and kills the
 // processes, crashes upstreams or makes them reset their flows, and injects faults
 // into the store and into the connections to it. It returns an error if a flow was
-// reset while its upstream was running, or if requests were lost after the settle
-// time. With any error, the logs of the processes stay in the directory that the
+// reset while its upstream was running, if a request ran more than once, or if requests were
+// lost after the settle time. With any error, the logs of the processes stay in the directory that the
 // error names.
 func Soak(ctx context.Context, c SoakConfig) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "hickoryhook-soak-")
@@ -118,8 +119,8 @@
 		return report, err
 	}
 	var failure error
-	if report.Broken > 0 || lost > 0 {
-		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d requests lost after the settle time", c.Seed, report.Broken, lost)
+	if report.Broken > 0 || report.Repeated > 0 || lost > 0 {
+		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d requests ran more than once, %d requests lost after the settle time", c.Seed, report.Broken, report.Repeated, lost)
 	}
 	if c.HTMLReport != nil {
 		err = k.timeline.writeReport(c.HTMLReport, fmt.Sprintf("Soak, seed %d", c.Seed), report, failure)
@@ -175,7 +176,7 @@
 	c := k.children[k.random.IntN(len(k.children))]
 	u := k.upstreams[k.random.IntN(len(k.upstreams))]
 	duration := k.randomDuration(maxFaultTime)
-	switch n := k.random.IntN(10); n {
+	switch n := k.random.IntN(11); n {
 	case 0:
 		return "SIGTERM " + c.name(), func() { c.signal(syscall.SIGTERM) }
 	case 1:
@@ -209,6 +210,14 @@
 		}
 	case 9:
 		return fmt.Sprintf("upstream %s resets its flows for %s", u.id, duration), func() { u.fail(duration) }
+	case 10:
+		other := k.children[k.random.IntN(len(k.children))]
+		gap := k.randomDuration(maxStopGap)
+		return fmt.Sprintf("SIGTERM %s, and after %s %s", c.name(), gap, other.name()), func() {
+			c.signal(syscall.SIGTERM)
+			time.Sleep(gap)
+			other.signal(syscall.SIGTERM)
+		}
 	default:
 		return "the store compacts its history", k.site.store.Compact
 	}
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -263,6 +263,9 @@
 	case h.Sequence != f.wantSeq:
 		return f.last, nil // a retransmitted request that was answered
 	}
+	if u.site.requests.recordRun(h.Flow, h.Sequence) {
+		u.site.log.Error("request ran again", zap.String("upstream", u.id), zap.Stringer("flow", h.Flow))
+	}
 	f.wantSeq += uint32(h.Length)
 	flags := segment.Ack
 	if u.isDraining() {
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -19,8 +19,8 @@
 paused, killed and restarted, upstreams crash or reset their flows, the stand-in
 for the store fails, and a proxy delays the connections to it, resets them, or
 stalls one or both directions. Exit code 1 if a flow was reset although its
-upstream was alive, or if requests are lost after the last fault has settled;
-then the logs of the processes are kept.
+upstream was alive, if a request ran more than once, or if requests are lost
+after the last fault has settled; then the logs of the processes are kept.
 
   -seed N        random seed, which fixes the order of the faults (default 1)
   -for D         how long faults are injected (default 20s)
@@ -94,6 +94,6 @@
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
-		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken},
+		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken}, {"requests that ran again", report.Repeated},
 	}))
 }
