Entries refuse openings of large flows that their link cannot carry

Cause: a link of 10 Mbit/s that uploads fill carries the same packets again: callers retransmit after 200 ms. Change: pkg/capacity reserves what each open flow may have in flight, at most the callers' window, and refuses the first copy of an opening whose route's flows are large if the link would need longer than 180 ms, or than 0.4 of the shortest target, for what is reserved. The director resets such an opening (link-full) before any agent is offered it. Entries without link-mbps admit everything.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -31,6 +31,7 @@
 	config     *configSync
 	// flowCollector writes the flows of this entry and of others.
 	flowCollector *flowCollector
+	link          *linkUse    // nil if the settings do not give the link's rate
 	stopping      atomic.Bool // set once the entry reports not ready before it ends
 	lagProbe      *lagProbe
 	overload      overloadDetector // used by the tick task only
@@ -68,7 +69,12 @@
 		process: p, callerConn: conn, lagProbe: newLagProbe(p.peerConn, conn), agentHellos: newAgentHellos(),
 		newerEra: make(chan struct{}, 1), registrationMissing: make(chan struct{}, 1), putClient: &http.Client{},
 	}
-	e.director = director.New(p.self, p.codec, e, director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain))
+	directorOptions := []director.Option{director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain)}
+	if s.LinkRate > 0 {
+		e.link = newLinkUse(s.LinkRate)
+		directorOptions = append(directorOptions, director.WithLink(e.link.link))
+	}
+	e.director = director.New(p.self, p.codec, e, directorOptions...)
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
 	e.flowCollector = newFlowCollector(p)
 	p.onNewEra = e.config.handleNewEra
@@ -102,6 +108,7 @@
 			"agents":         func() any { return e.director.Status(e.now()) },
 			"config-version": e.configVersion,
 			"flows":          func() any { return e.director.Flows() },
+			"link":           e.linkStatus,
 			"ready":          func() any { return e.ready() },
 			"settled":        func() any { return e.director.Settled(e.now()) },
 		}),
@@ -202,6 +209,9 @@
 	if d.Tried != 0 {
 		fields = append(fields, zap.Int("tried", d.Tried))
 	}
+	if d.Link.Refused {
+		fields = append(fields, zap.Duration("link-needs", d.Link.Delay), zap.Int("expected-bytes", d.Link.Expected))
+	}
 	e.log.Info(string(d.Event), fields...)
 }
 
@@ -267,6 +277,7 @@
 	since := now - e.lastTick
 	e.lastTick = now
 	e.director.Tick(now, since)
+	e.checkLink(now)
 	e.checkOverload(now)
 }
 
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -138,7 +138,7 @@
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
 		return
 	}
-	delete(s.flows, h.Flow)
+	d.forget(s, h.Flow)
 	if !h.Has(segment.Reset) {
 		d.reset(OwnerNotFound, h, 0)
 	}
@@ -198,7 +198,9 @@
 		d.repeatResets(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
-				delete(s.flows, flow)
+				d.forget(s, flow)
+			} else if d.link != nil {
+				d.link.Expire(now, &rec.link)
 			}
 		}
 		s.mu.Unlock()
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -26,6 +26,7 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/pkg/segment"
@@ -89,6 +90,9 @@
 	// UpstreamGone means that a flow was reset because the upstream that held it
 	// has restarted or ended.
 	UpstreamGone Event = "upstream-gone"
+	// LinkFull means that an opening was reset before it was offered to any agent, because
+	// the entry's link cannot carry the flow in time, see Link.
+	LinkFull Event = "link-full"
 )
 
 // The latencies that a director records.
@@ -116,6 +120,18 @@
 		RecordDecision(d Decision)
 	}
 
+	// Link accounts for the bytes that callers send through the entry's link and decides
+	// on openings. A capacity.Link is one. Its methods are called with a lock held, those
+	// with the same flow one at a time.
+	Link interface {
+		Admit(vip netip.AddrPort) capacity.Verdict
+		Opened(now time.Duration, f *capacity.Flow, vip netip.AddrPort)
+		Received(now time.Duration, f *capacity.Flow, vip netip.AddrPort, size, data int)
+		Answered(f *capacity.Flow)
+		Ended(f *capacity.Flow)
+		Expire(now time.Duration, f *capacity.Flow)
+	}
+
 	// Event is the kind of a decision.
 	Event string
 
@@ -142,6 +158,8 @@
 		// Tried is the number of candidates on the list that was returned without
 		// one accepting the flow. For SearchedAll it is the number of agents queried.
 		Tried int
+		// Link is what LinkFull was based on.
+		Link capacity.Verdict
 	}
 
 	// Director holds the routing state of one entry.
@@ -149,6 +167,7 @@
 		self       peer.Addr
 		codec      segment.Codec
 		port       Port
+		link       Link // nil if every opening is admitted
 		lifetime   time.Duration
 		configMu   sync.Mutex
 		config     atomic.Pointer[route.Config]
@@ -185,6 +204,7 @@
 		lastSeen     time.Duration // time of the last packet or Owned message
 		waitingPlace waitingPlace  // of an opening that was returned
 		created      time.Duration // when the flow was last placed, else when the record was added
+		link         capacity.Flow // account of the flow's bytes, unused without a Link
 	}
 
 	// Option configures a Director.
@@ -201,6 +221,9 @@
 // from the cache. It also limits the idle timeout of the configuration.
 func WithLifetime(d time.Duration) Option { return func(x *Director) { x.lifetime = d } }
 
+// WithLink sets the link that decides whether openings are admitted; by default all are.
+func WithLink(l Link) Option { return func(x *Director) { x.link = l } }
+
 // New returns a director without a configuration and without agents.
 func New(self peer.Addr, codec segment.Codec, port Port, options ...Option) *Director {
 	d := &Director{self: self, codec: codec, port: port, lifetime: defaultFlowLifetime, members: newMembers()}
@@ -315,7 +338,7 @@
 		return // a newer configuration may have the route
 	}
 	rec := s.flows[h.Flow]
-	delete(s.flows, h.Flow)
+	d.forget(s, h.Flow)
 	if h.Has(segment.Reset) {
 		return
 	}
@@ -344,6 +367,7 @@
 		s.flows[h.Flow] = rec
 	}
 	rec.lastSeen = now
+	d.account(now, rec, h, len(packet))
 	if rec.gone != nil {
 		d.resetGone(rec, h)
 		return
@@ -399,6 +423,14 @@
 	d.port.ToProcess(to, s.buf)
 }
 
+// forget removes a flow from the cache.
+func (d *Director) forget(s *shard, flow segment.Flow) {
+	if rec := s.flows[flow]; rec != nil && d.link != nil {
+		d.link.Ended(&rec.link)
+	}
+	delete(s.flows, flow)
+}
+
 // lock locks and returns the shard of a flow.
 func (d *Director) lock(f segment.Flow) *shard {
 	s := &d.shards[f.Hash()%shardCount]
--- a/pkg/director/gone.go
+++ b/pkg/director/gone.go
@@ -31,6 +31,9 @@
 func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord) {
 	rec.owner, rec.startID, rec.open, rec.searching, rec.lastSeen = peer.Addr{}, 0, false, false, now
 	rec.gone = &goneFlow{}
+	if d.link != nil {
+		d.link.Ended(&rec.link)
+	}
 	if rec.acknowledged != 0 {
 		rec.gone = &goneFlow{repeats: resetRepeats, repeatAt: now + resetRepeatDelay, delay: 2 * resetRepeatDelay}
 		s.resets = append(s.resets, flow)
--- /dev/null
+++ b/pkg/director/link_test.go
@@ -0,0 +1,128 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/pkg/capacity"
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+// decisionPort records the decisions of a director, too.
+type decisionPort struct {
+	framePort
+	decisions []director.Decision
+}
+
+func (p *decisionPort) RecordDecision(d director.Decision) { p.decisions = append(p.decisions, d) }
+
+// openingOf returns a copy of the opening of a caller's flow, 0 the first one.
+func openingOf(port uint16, copies uint32) []byte {
+	flow := segment.NewFlow(netipPort(vipAt(1), port), vipAt(2))
+	return platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Open, Acknowledged: copies}, false)
+}
+
+// dataOf returns a full packet of data of a caller's flow.
+func dataOf(port uint16) []byte {
+	flow := segment.NewFlow(netipPort(vipAt(1), port), vipAt(2))
+	return platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 1, Length: 1200}, false)
+}
+
+// fullSite returns a director whose link is reserved for an upload of port 1, and the link.
+func fullSite(t *testing.T) (*director.Director, *decisionPort, *capacity.Link) {
+	t.Helper()
+	link := capacity.New(100_000)
+	port := &decisionPort{framePort: framePort{recordingPort: recordingPort{new([]peer.Addr)}}}
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port, director.WithLink(link))
+	d.MergeHolders(nil)
+	d.SetConfig(route.New(1, []route.Route{{VIP: vipAt(2), Shares: []route.Share{{Service: feedService, Weight: 1}}}}))
+	agent := peer.Addr{10, 0, 1, 1}
+	d.HandleReport(time.Second, agent, peer.Status{Incarnation: 1, Sequence: 1, Service: feedService, Upstream: "u", Born: 5, Taking: true, Slots: 3})
+	d.SetRegistered(time.Second, []peer.Addr{agent})
+	send := func(b []byte) {
+		if err := d.HandleCallerPacket(time.Second, b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(openingOf(1, 0))
+	for range 20 {
+		send(dataOf(1))
+	}
+	if link.Status().Reserved == 0 {
+		t.Fatal("nothing reserved")
+	}
+	port.frames, port.decisions = nil, nil
+	return d, port, link
+}
+
+// TestFullLinkRefusesFirstCopyOnly guards against the reset of an opening that an agent may
+// have been offered: the caller would send the request again, and it would run twice. Only
+// the first copy of a flow without a record is reset, and it is offered to nobody.
+func TestFullLinkRefusesFirstCopyOnly(t *testing.T) {
+	is := is.New(t)
+	d, port, _ := fullSite(t)
+	is.NoErr(d.HandleCallerPacket(time.Second, openingOf(2, 0)))
+	is.Equal(port.resets, 1)
+	is.Equal(len(port.frames), 0)
+	is.Equal(len(port.decisions), 1)
+	is.Equal(port.decisions[0].Event, director.LinkFull)
+	is.True(port.decisions[0].Link.Delay > capacity.MaxDelay(0))
+	is.Equal(d.Flows(), 1) // nothing of the refused one
+
+	is.NoErr(d.HandleCallerPacket(time.Second, openingOf(3, 1))) // another entry may have offered the first copy
+	is.Equal(port.resets, 1)
+	is.Equal(port.last().Kind, peer.Place)
+	is.NoErr(d.HandleCallerPacket(time.Second, openingOf(3, 0))) // a late first copy of an offered flow
+	is.Equal(port.resets, 1)
+	is.Equal(port.last().Kind, peer.Deliver)
+	is.NoErr(d.HandleCallerPacket(time.Second, dataOf(1)))
+	is.Equal(port.last().Kind, peer.Deliver) // open flows are not touched
+}
+
+// TestReservationsEndWithFlows guards against reservations that outlive their flows and so
+// refuse openings for good: the caller closes its flow, the upstream ends, the flow expires.
+func TestReservationsEndWithFlows(t *testing.T) {
+	flow := segment.NewFlow(netipPort(vipAt(1), 1), vipAt(2))
+	owner := peer.Addr{10, 0, 1, 1}
+	for name, end := range map[string]func(*director.Director) error{
+		"closed": func(d *director.Director) error {
+			return d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack | segment.Fin, Acknowledged: 1}, false))
+		},
+		"answered": func(d *director.Director) error {
+			return d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 500}, false))
+		},
+		"upstream ended": func(d *director.Director) error {
+			o := peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Start: 7}
+			if err := d.HandleAgentDatagram(time.Second, owner, o.Append(nil)); err != nil {
+				return err
+			}
+			d.HandleReport(time.Second, owner, peer.Status{Incarnation: 1, Sequence: 2, Service: feedService, Upstream: "v", Born: 6, Taking: true, Slots: 3})
+			return nil
+		},
+		"silent": func(d *director.Director) error { d.Tick(1500*time.Millisecond, 100*time.Millisecond); return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, port, link := fullSite(t)
+			is.NoErr(end(d))
+			is.Equal(link.Status().Reserved, int64(0))
+			is.NoErr(d.HandleCallerPacket(time.Second, openingOf(2, 0)))
+			is.Equal(port.last().Kind, peer.Place)
+		})
+	}
+}
+
+// TestPacketsOfOpenFlowsAllocateNothingForLink guards the packet path: the account of a
+// flow's bytes must not allocate.
+func TestPacketsOfOpenFlowsAllocateNothingForLink(t *testing.T) {
+	is := is.New(t)
+	link := capacity.New(100_000)
+	var f capacity.Flow
+	is.Equal(testing.AllocsPerRun(100, func() { link.Received(time.Second, &f, vipAt(2), 1232, 1200) }), 0.0)
+}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -34,14 +34,24 @@
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
-// recorded owner if that is usable; otherwise the flow is placed again.
+// recorded owner if that is usable; otherwise the flow is placed again. The first copy is
+// placed only if the link admits it. In an opening, the acknowledgement number counts the
+// copies.
 func (d *Director) handleOpening(now time.Duration, s *shard, h segment.Header, r route.Route, packet []byte) {
-	if rec := s.flows[h.Flow]; rec != nil && d.members.usable(now, rec.owner) {
+	rec := s.flows[h.Flow]
+	if rec != nil && d.members.usable(now, rec.owner) {
 		rec.lastSeen = now
+		d.accountOpening(now, rec, h, rec.closed, len(packet)) // the caller uses the port of a closed flow again
 		d.deliver(s, rec, packet)
 		return
 	}
+	if rec == nil && h.Acknowledged == 0 && d.refuseByLink(now, h, r, len(packet)) {
+		return
+	}
 	d.placeFlow(now, s, h, r, packet)
+	if placed := s.flows[h.Flow]; placed != nil {
+		d.accountOpening(now, placed, h, rec == nil, len(packet))
+	}
 }
 
 // placeFlow selects a service for a new flow and offers the flow to the service's
@@ -59,7 +69,11 @@
 		d.refuseOpening(now, h)
 		return
 	}
-	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
+	rec := &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
+	if old := s.flows[h.Flow]; old != nil {
+		rec.link = old.link
+	}
+	s.flows[h.Flow] = rec
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
 	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Stage: chosenStage, Packet: packet})
 }
@@ -70,8 +84,10 @@
 // dropped.
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec == nil || rec.gone != nil {
+	if rec == nil {
 		rec = &flowRecord{}
+	} else if rec.gone != nil {
+		rec = &flowRecord{link: rec.link}
 	}
 	if rec.open {
 		return
@@ -96,7 +112,7 @@
 		d.send(s, rec.owner, &next)
 		return
 	}
-	delete(s.flows, h.Flow)
+	d.forget(s, h.Flow)
 	d.reset(NotAccepted, h, len(f.Candidates))
 }
 
