Entries leave rotation while the larger ones of their domain carry more without them

Cause: routers send each entry of a domain the same number of flows, whatever its link. Entries without link-mbps are as before.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -25,6 +25,8 @@
 	// NoUpstream: no upstream of the service was known, or the route has no service
 	// with a weight.
 	NoUpstream Cause = "no-upstream-known"
+	// LinkFull: the entry refused the opening, as its link could not carry the flow in time.
+	LinkFull Cause = "link-full"
 	// NoRoute: the configuration has no route for the VIP.
 	NoRoute Cause = "no-route"
 	// SearchUncertain: a search found no upstream that holds the flow but could not
@@ -63,6 +65,7 @@
 	"reset-by-upstream":    ResetByUpstream,
 	"found-nobody":         FlowLost,
 	"no-taker":             UpstreamsBusy,
+	"link-full":            LinkFull,
 	"no-route":             NoRoute,
 	"route-dropped":        NoRoute,
 }
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -163,9 +163,13 @@
 	}
 }
 
-// ready reports whether the entry can serve callers: it is neither stopping nor
+// ready reports whether the routers should send callers' packets to the entry: it can serve
+// them, and its link is needed by its failure domain.
+func (e *Entry) ready() bool { return e.serves() && e.inRotation() }
+
+// serves reports whether the entry can serve callers: it is neither stopping nor
 // overloaded, has a configuration, and receives reports from enough agents.
-func (e *Entry) ready() bool {
+func (e *Entry) serves() bool {
 	return !e.stopping.Load() && !e.overloaded.Load() && e.director.Config() != nil && e.director.Reachable(e.now())
 }
 
@@ -253,7 +257,7 @@
 	if err := peer.DecodeMessage(b, &goodbye); err != nil {
 		return err
 	}
-	e.entries.markStopped(from)
+	e.entries.markStopped(e.now(), from)
 	e.agentHellos.forget(from)
 	e.director.HandleGoodbye(e.now(), from, goodbye.Restarting)
 	e.log.Info("process stops", zap.Stringer("process", from), zap.Bool("returns", goodbye.Restarting))
@@ -278,6 +282,7 @@
 	e.lastTick = now
 	e.director.Tick(now, since)
 	e.checkLink(now)
+	e.checkRotation(now)
 	e.checkOverload(now)
 }
 
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -1,21 +1,38 @@
 package fleet
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/route"
 )
 
-// linkUse is what an entry knows about the use of its link.
-type linkUse struct {
-	link *capacity.Link
-	// config is the configuration whose targets apply; used by the tick task only.
-	config *route.Config
-}
+type (
+	// linkUse is what an entry knows about the use of its link and decides from it.
+	linkUse struct {
+		link *capacity.Link
+		// config is the configuration whose targets apply, and rotation decides whether the
+		// entry is in rotation. Both are used by the tick task only.
+		config   *route.Config
+		rotation capacity.Rotation
+		out      atomic.Bool // of rotation
+		status   atomic.Pointer[rotationStatus]
+	}
+
+	// linkStatus describes a link and the rotation for operators.
+	linkStatus struct {
+		capacity.Status
+		Rotation rotationStatus `json:"rotation"`
+	}
+)
 
 // newLinkUse returns the use of a link with a capacity in bytes a second.
-func newLinkUse(rate float64) *linkUse { return &linkUse{link: capacity.New(rate)} }
+func newLinkUse(rate float64) *linkUse {
+	u := &linkUse{link: capacity.New(rate)}
+	u.status.Store(&rotationStatus{In: true, Reason: capacity.InRotation})
+	return u
+}
 
 // checkLink measures the use of the link, and takes over the targets of a new
 // configuration.
@@ -41,10 +58,13 @@
 	return shortest
 }
 
-// linkStatus returns the state of the link for the metrics, nil if its rate is not given.
+// linkStatus returns the state of the link and the rotation for the metrics, nil if its rate is not given.
 func (e *Entry) linkStatus() any {
 	if e.link == nil {
 		return nil
 	}
-	return e.link.link.Status()
+	return linkStatus{Status: e.link.link.Status(), Rotation: *e.link.status.Load()}
 }
+
+// inRotation reports whether the entry's link is needed by its failure domain.
+func (e *Entry) inRotation() bool { return e.link == nil || !e.link.out.Load() }
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -22,6 +22,7 @@
 
 	"github.com/go-faster/errors"
 
+	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/director"
 )
 
@@ -34,6 +35,8 @@
 	maxResponse = 2 << 20
 	// storeCallPrefix is the prefix of the names of counts of calls to the store.
 	storeCallPrefix = "store-"
+	// bytesPerMegabit converts Mbit/s to bytes a second.
+	bytesPerMegabit = 1e6 / 8
 )
 
 type (
@@ -62,6 +65,17 @@
 		Counts        map[string]int64       `json:"counts"`
 		// LeftOut is how many log lines were left out by sampling.
 		LeftOut int64 `json:"log-lines-sampled"`
+		// Link is the state of the entry's link, nil if its rate is not given.
+		Link *Link `json:"link"`
+	}
+
+	// Link is the state of an entry's link.
+	Link struct {
+		capacity.Status
+		Rotation struct {
+			In     bool            `json:"in"`
+			Reason capacity.Reason `json:"reason"`
+		} `json:"rotation"`
 	}
 )
 
@@ -114,6 +128,8 @@
 		case e.Err != nil:
 			out = append(out, fmt.Sprintf("%s does not answer: %v", e.Address, e.Err))
 			continue
+		case e.Vars.outOfRotation():
+			out = append(out, e.Address+" is not ready, as the larger entries carry more without it")
 		case !e.Vars.Ready:
 			out = append(out, e.Address+" is not ready")
 		}
@@ -184,6 +200,7 @@
 				time.Duration(e.Vars.UptimeMS)*time.Millisecond, e.Vars.storeCalls(), e.Vars.LeftOut)
 		}
 	}
+	o.writeLinks(t)
 	fmt.Fprintf(t, "\nservice\tagent\tupstream\tplace\ttaking\tflows\trunning\tslots\tage\n")
 	for _, a := range o.summarizeAgents() {
 		s := a.status
@@ -193,6 +210,23 @@
 	return t.Flush()
 }
 
+// writeLinks writes a table of the entries whose link's rate is given, if there are any.
+func (o Overview) writeLinks(w io.Writer) {
+	header := "\nlink of\tMbit/s\tin use\treserved\tat most\trefused openings\trotation\n"
+	for _, e := range o.Entries {
+		l := e.Vars.Link
+		if e.Err != nil || l == nil {
+			continue
+		}
+		fmt.Fprintf(w, "%s%s\t%.1f\t%.0f%%\t%.0f ms\t%.0f ms\t%d\t%s\n", header, e.Address, l.Rate/bytesPerMegabit, 100*l.Use, l.ReservedMS, l.MaxDelayMS,
+			e.Vars.Counts[string(director.LinkFull)], l.Rotation.Reason)
+		header = ""
+	}
+}
+
+// outOfRotation reports whether the entry is not ready because of the demand for its link.
+func (v Vars) outOfRotation() bool { return !v.Ready && v.Link != nil && !v.Link.Rotation.In }
+
 // storeCalls returns how many calls the entry has made to the store. It leaves out the
 // count store-errors, as failed calls are counted by their kind, too.
 func (v Vars) storeCalls() int64 {
