--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -214,7 +214,7 @@
 		fields = append(fields, zap.Int("tried", d.Tried))
 	}
 	if d.Link.Refused {
-		fields = append(fields, zap.Duration("link-needs", d.Link.Delay), zap.Int("expected-bytes", d.Link.Expected))
+		fields = append(fields, zap.Duration("link-needs-ms", d.Link.Delay), zap.Int("expected-bytes", d.Link.Expected))
 	}
 	e.log.Info(string(d.Event), fields...)
 }
--- a/internal/fleet/rotation.go
+++ b/internal/fleet/rotation.go
@@ -67,7 +67,7 @@
 	fields := []zap.Field{
 		zap.String("reason", string(r.Reason())), zap.Int("entries", p.Entries), zap.Int("in-rotation", p.Ready), zap.Int("wanted", p.Want),
 		zap.Float64("demand", p.Demand), zap.Float64("carried", p.Carried), zap.Float64("carried-then", p.CarriedThen),
-		zap.Float64("link", domain.Self.LinkRate), zap.Duration("neighbours-changed", now-domain.ChangedAt),
+		zap.Float64("link", domain.Self.LinkRate), zap.Duration("neighbours-changed-ms", now-domain.ChangedAt),
 	}
 	if r.Out() {
 		e.log.Info("out of rotation, others carry more", fields...)
