Tests of small flows beside a full link; sizes that are learned while the first uploads run

Change: the bytes of open flows count for the mean size over all routes, too, until a flow of their route has ended. New tests of rules that no test guarded: small flows reserve nothing, long flows with small requests stay small, and what small flows use is not available to large ones.

--- a/pkg/capacity/link.go
+++ b/pkg/capacity/link.go
@@ -95,7 +95,7 @@
 		callerRate     atomicFloat
 		unreservedRate atomicFloat
 
-		mu     sync.Mutex // taken when a flow begins or ends, not for other packets
+		mu     sync.Mutex // taken when a flow begins or ends; for other packets only by raise
 		routes map[netip.AddrPort]*routeSizes
 		// bytes and weighted are decayed sums over the flows of all routes: their bytes, and
 		// these times the mean of their route.
@@ -231,7 +231,7 @@
 		f.bytes = max(0, f.bytes-(now-f.at).Seconds()*quietRate) + float64(bytes)
 		mean := f.route.mean.load()
 		if f.bytes > mean && f.route.flows.Load() == 0 {
-			f.route.mean.store(f.bytes) // the largest flow stands for the route until one has ended
+			l.raise(f.route, f.bytes)
 		}
 		l.reserve(f, expected(mean, f.bytes))
 	}
@@ -311,6 +311,20 @@
 	return r, many
 }
 
+// raise makes the bytes of an open flow the mean of its route, of which none has ended yet:
+// the largest one stands for the route until then.
+func (l *Link) raise(r *routeSizes, bytes float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	added := bytes - r.mean.load()
+	if added <= 0 {
+		return
+	}
+	r.mean.store(bytes)
+	l.bytes += added
+	l.weighted += added * bytes
+}
+
 // settle releases a flow's reservation and adds its size to the mean of its route.
 func (l *Link) settle(f *Flow) {
 	l.reserve(f, 0)
--- a/pkg/capacity/link_test.go
+++ b/pkg/capacity/link_test.go
@@ -283,3 +283,37 @@
 	link.Opened(time.Second, &second, vip)
 	is.True(link.Admit(vip).Refused)
 }
+
+// TestSmallFlowsReserveNothing covers small requests, and long flows with a request each
+// 100 ms. It guards against a link that counts as full although it is far from it. What they
+// use of the link is not available to large flows.
+func TestSmallFlowsReserveNothing(t *testing.T) {
+	is := is.New(t)
+	vip, uploads := netip.MustParseAddrPort("198.18.0.2:80"), netip.MustParseAddrPort("198.18.0.1:80")
+	link := capacity.New(1.25e6)
+	var long, upload capacity.Flow
+	for range 33 {
+		link.Received(0, &upload, uploads, 1232, 1200)
+	}
+	link.Ended(&upload)
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		link.Received(now, &long, vip, 232, 200)
+	}
+	is.Equal(link.Status().Reserved, int64(0))
+	link.Ended(&long)
+	flows := make([]capacity.Flow, 1000)
+	for i := range flows {
+		link.Opened(time.Minute, &flows[i], vip)
+	}
+	is.Equal(link.Status().Reserved, int64(0))
+
+	idle := link.Admit(uploads).Delay
+	for now := time.Minute; now < time.Minute+2*time.Second; now += 100 * time.Millisecond {
+		link.Tick(now)
+		for range 250 {
+			link.Received(now, &flows[0], vip, 200, 0)
+		}
+	}
+	is.True(link.CallerRate() > 600_000)
+	is.True(link.Admit(uploads).Delay >= 2*idle)
+}
