Remove the rotation of entries by the capacity of their links

The refused openings already move the load to large entries, and the measured demand leaves out what is refused. Change: capacity.Rotation, its use in internal/fleet, its log lines, its parts of the metrics and of the status command, and its docs are gone.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -179,7 +179,7 @@
 	case peer.Hello:
 		return a.handleHello(peer.NewAddr(from.Addr()), b)
 	case peer.Goodbye:
-		a.entries.markStopped(a.now(), peer.NewAddr(from.Addr()))
+		a.entries.markStopped(peer.NewAddr(from.Addr()))
 		return nil
 	default:
 		return peer.ErrInvalidFrame
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
@@ -71,8 +72,8 @@
 	}
 	directorOptions := []director.Option{director.WithLifetime(s.FlowLifetime), director.WithFailureDomain(s.FailureDomain)}
 	if s.LinkRate > 0 {
-		e.link = newLinkUse(s.LinkRate)
-		directorOptions = append(directorOptions, director.WithLink(e.link.link))
+		e.link = &linkUse{Link: capacity.New(s.LinkRate)}
+		directorOptions = append(directorOptions, director.WithLink(e.link))
 	}
 	e.director = director.New(p.self, p.codec, e, directorOptions...)
 	e.config = newConfigSync(p, e.director, e.sendHelloToAlive)
@@ -163,13 +164,9 @@
 	}
 }
 
-// ready reports whether the routers should send callers' packets to the entry: it can serve
-// them, and its link is needed by its failure domain.
-func (e *Entry) ready() bool { return e.serves() && e.inRotation() }
-
-// serves reports whether the entry can serve callers: it is neither stopping nor
+// ready reports whether the entry can serve callers: it is neither stopping nor
 // overloaded, has a configuration, and receives reports from enough agents.
-func (e *Entry) serves() bool {
+func (e *Entry) ready() bool {
 	return !e.stopping.Load() && !e.overloaded.Load() && e.director.Config() != nil && e.director.Reachable(e.now())
 }
 
@@ -257,7 +254,7 @@
 	if err := peer.DecodeMessage(b, &goodbye); err != nil {
 		return err
 	}
-	e.entries.markStopped(e.now(), from)
+	e.entries.markStopped(from)
 	e.agentHellos.forget(from)
 	e.director.HandleGoodbye(e.now(), from, goodbye.Restarting)
 	e.log.Info("process stops", zap.Stringer("process", from), zap.Bool("returns", goodbye.Restarting))
@@ -282,7 +279,6 @@
 	e.lastTick = now
 	e.director.Tick(now, since)
 	e.checkLink(now)
-	e.checkRotation(now)
 	e.checkOverload(now)
 }
 
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -171,9 +171,6 @@
 	if c := e.director.Config(); c != nil {
 		hello.ConfigVersion = c.Version()
 	}
-	if e.link != nil {
-		hello.LinkRate, hello.CallerRate = e.link.link.Rate(), e.link.link.CallerRate()
-	}
 	if ago, ok := e.director.VerifiedAgo(now); ok {
 		hello.VerifiedAgo = ago.Milliseconds()
 	}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -1,37 +1,16 @@
 package fleet
 
 import (
-	"sync/atomic"
 	"time"
 
 	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/route"
 )
 
-type (
-	// linkUse is what an entry knows about the use of its link and decides from it.
-	linkUse struct {
-		link *capacity.Link
-		// config is the configuration whose targets apply, and rotation decides whether the
-		// entry is in rotation. Both are used by the tick task only.
-		config   *route.Config
-		rotation capacity.Rotation
-		out      atomic.Bool // of rotation
-		status   atomic.Pointer[rotationStatus]
-	}
-
-	// linkStatus describes a link and the rotation for operators.
-	linkStatus struct {
-		capacity.Status
-		Rotation rotationStatus `json:"rotation"`
-	}
-)
-
-// newLinkUse returns the use of a link with a capacity in bytes a second.
-func newLinkUse(rate float64) *linkUse {
-	u := &linkUse{link: capacity.New(rate)}
-	u.status.Store(&rotationStatus{In: true, Reason: capacity.InRotation})
-	return u
+// linkUse is an entry's link with the configuration whose targets apply to it.
+type linkUse struct {
+	*capacity.Link
+	config *route.Config // used by the tick task only
 }
 
 // checkLink measures the use of the link, and takes over the targets of a new
@@ -40,10 +19,10 @@
 	if e.link == nil {
 		return
 	}
-	e.link.link.Tick(now)
+	e.link.Tick(now)
 	if c := e.director.Config(); c != nil && c != e.link.config {
 		e.link.config = c
-		e.link.link.SetMaxDelay(capacity.MaxDelay(shortestTarget(c)))
+		e.link.SetMaxDelay(capacity.MaxDelay(shortestTarget(c)))
 	}
 }
 
@@ -58,13 +37,10 @@
 	return shortest
 }
 
-// linkStatus returns the state of the link and the rotation for the metrics, nil if its rate is not given.
+// linkStatus returns the state of the link for the metrics, nil if its rate is not given.
 func (e *Entry) linkStatus() any {
 	if e.link == nil {
 		return nil
 	}
-	return linkStatus{Status: e.link.link.Status(), Rotation: *e.link.status.Load()}
+	return e.link.Status()
 }
-
-// inRotation reports whether the entry's link is needed by its failure domain.
-func (e *Entry) inRotation() bool { return e.link == nil || !e.link.out.Load() }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -96,9 +96,6 @@
 		domain      string // failure domain
 		ready       bool
 		readySince  time.Duration // when ready last became true; 0 if it never did
-		linkRate    float64       // bytes a second, 0 if not known
-		callerRate  float64       // bytes a second
-		changedAt   time.Duration // when it last started, stopped or changed its readiness
 	}
 
 	// task is a named function that runs in its own goroutine until the context
@@ -358,23 +355,18 @@
 	if hello.Ready && !e.ready {
 		e.readySince = now
 	}
-	if isNew || hello.Ready != e.ready {
-		e.changedAt = now
-	}
 	e.lastHello, e.active, e.incarnation = now, true, hello.Incarnation
-	e.linkRate, e.callerRate = hello.LinkRate, hello.CallerRate
 	e.domain, e.ready = hello.FailureDomain, hello.Ready
 	return isNew
 }
 
 // markStopped marks an entry as stopped until its next hello message. It
 // ignores the address of a process that is not a known entry.
-func (s *entrySet) markStopped(now time.Duration, a peer.Addr) {
+func (s *entrySet) markStopped(a peer.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.byAddr[a]; ok {
 		e.active, e.ready = false, false
-		e.changedAt = now
 	}
 }
 
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -66,16 +66,7 @@
 		// LeftOut is how many log lines were left out by sampling.
 		LeftOut int64 `json:"log-lines-sampled"`
 		// Link is the state of the entry's link, nil if its rate is not given.
-		Link *Link `json:"link"`
-	}
-
-	// Link is the state of an entry's link.
-	Link struct {
-		capacity.Status
-		Rotation struct {
-			In     bool            `json:"in"`
-			Reason capacity.Reason `json:"reason"`
-		} `json:"rotation"`
+		Link *capacity.Status `json:"link"`
 	}
 )
 
@@ -128,8 +119,6 @@
 		case e.Err != nil:
 			out = append(out, fmt.Sprintf("%s does not answer: %v", e.Address, e.Err))
 			continue
-		case e.Vars.outOfRotation():
-			out = append(out, e.Address+" is not ready, as the larger entries carry more without it")
 		case !e.Vars.Ready:
 			out = append(out, e.Address+" is not ready")
 		}
@@ -212,21 +201,18 @@
 
 // writeLinks writes a table of the entries whose link's rate is given, if there are any.
 func (o Overview) writeLinks(w io.Writer) {
-	header := "\nlink of\tMbit/s\tin use\treserved\tat most\trefused openings\trotation\n"
+	header := "\nlink of\tMbit/s\tin use\treserved\tat most\trefused openings\n"
 	for _, e := range o.Entries {
 		l := e.Vars.Link
 		if e.Err != nil || l == nil {
 			continue
 		}
-		fmt.Fprintf(w, "%s%s\t%.1f\t%.0f%%\t%.0f ms\t%.0f ms\t%d\t%s\n", header, e.Address, l.Rate/bytesPerMegabit, 100*l.Use, l.ReservedMS, l.MaxDelayMS,
-			e.Vars.Counts[string(director.LinkFull)], l.Rotation.Reason)
+		fmt.Fprintf(w, "%s%s\t%.1f\t%.0f%%\t%.0f ms\t%.0f ms\t%d\n", header, e.Address, l.Rate/bytesPerMegabit, 100*l.Use, l.ReservedMS, l.MaxDelayMS,
+			e.Vars.Counts[string(director.LinkFull)])
 		header = ""
 	}
 }
 
-// outOfRotation reports whether the entry is not ready because of the demand for its link.
-func (v Vars) outOfRotation() bool { return !v.Ready && v.Link != nil && !v.Link.Rotation.In }
-
 // storeCalls returns how many calls the entry has made to the store. It leaves out the
 // count store-errors, as failed calls are counted by their kind, too.
 func (v Vars) storeCalls() int64 {
--- a/pkg/capacity/link.go
+++ b/pkg/capacity/link.go
@@ -1,5 +1,4 @@
-// Package capacity decides, in an entry, what the entry's link can carry: which openings
-// of flows are admitted, and which entries of a failure domain should be in rotation.
+// Package capacity decides, in an entry, which openings of flows the entry's link can carry.
 //
 // Each packet of a caller crosses the link twice, in from the caller and out to an agent.
 // When the link is full, packets queue in front of it, callers send theirs again after
@@ -16,12 +15,9 @@
 //	link.Ended(&flow)
 //	link.Tick(now)
 //
-//	var rotation capacity.Rotation
-//	changed := rotation.Observe(now, self, others, enoughOthers)
-//
 // Times count from a fixed point, such as the start of the process. The methods of a Link
 // are safe for concurrent use, except that those with the same Flow must not run at the
-// same time. A Rotation is not safe for concurrent use.
+// same time.
 package capacity
 
 import (
@@ -126,7 +122,8 @@
 
 	// Status describes a link for operators.
 	Status struct {
-		// Rate is the capacity, and CallerRate what callers send, in bytes a second.
+		// Rate is the capacity, and CallerRate what callers sent in the last second, in
+		// bytes a second.
 		Rate       float64 `json:"bytes-per-s"`
 		CallerRate float64 `json:"caller-bytes-per-s"`
 		// Use is CallerRate as a part of Rate.
@@ -175,12 +172,6 @@
 	return l
 }
 
-// Rate returns the capacity in bytes a second.
-func (l *Link) Rate() float64 { return l.rate }
-
-// CallerRate returns the number of bytes a second that callers sent in the last second.
-func (l *Link) CallerRate() float64 { return l.callerRate.load() }
-
 // SetMaxDelay sets the longest time that the link may need for reserved bytes.
 func (l *Link) SetMaxDelay(d time.Duration) { l.maxDelay.Store(int64(d)) }
 
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -77,10 +77,6 @@
 		// ColdRates is the number of openings a second that a cold upstream of each
 		// service bears. Services without a limit are left out.
 		ColdRates map[string]float64 `cbor:"11,keyasint,omitempty"`
-		// LinkRate is the capacity of the entry's link in bytes a second, 0 if unknown.
-		LinkRate float64 `cbor:"12,keyasint,omitempty"`
-		// CallerRate is the number of bytes a second that callers send to the entry.
-		CallerRate float64 `cbor:"13,keyasint,omitempty"`
 	}
 
 	// Evacuation is a set of evacuated failure domains. Sets are ordered by the point in
