--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -27,6 +27,8 @@
 	NoUpstream Cause = "no-upstream-known"
 	// UpstreamsEvacuated: the upstreams of the service are in evacuated failure domains.
 	UpstreamsEvacuated Cause = "upstreams-evacuated"
+	// LinkFull: the entry refused the opening, as its link could not carry the flow in time.
+	LinkFull Cause = "link-full"
 	// NoRoute: the configuration has no route for the VIP.
 	NoRoute Cause = "no-route"
 	// SearchUncertain: a search found no upstream that holds the flow but could not
@@ -66,6 +68,7 @@
 	"found-nobody":         FlowLost,
 	"no-taker":             UpstreamsBusy,
 	"upstreams-evacuated":  UpstreamsEvacuated,
+	"link-full":            LinkFull,
 	"no-route":             NoRoute,
 	"route-dropped":        NoRoute,
 }
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -22,6 +22,7 @@
 
 	"github.com/go-faster/errors"
 
+	"hickoryhook.example/pkg/capacity"
 	"hickoryhook.example/pkg/director"
 )
 
@@ -34,6 +35,8 @@
 	maxResponse = 2 << 20
 	// storeCallPrefix is the prefix of the names of counts of calls to the store.
 	storeCallPrefix = "store-"
+	// bytesPerMegabit converts Mbit/s to bytes a second.
+	bytesPerMegabit = 1e6 / 8
 )
 
 type (
@@ -63,6 +66,8 @@
 		Counts        map[string]int64       `json:"counts"`
 		// LeftOut is how many log lines were left out by sampling.
 		LeftOut int64 `json:"log-lines-sampled"`
+		// Link is the state of the entry's link, nil if its rate is not given.
+		Link *capacity.Status `json:"link"`
 	}
 
 	// Evacuation holds the evacuated failure domains that an entry knows, and the era and
@@ -220,6 +225,7 @@
 				time.Duration(e.Vars.UptimeMS)*time.Millisecond, e.Vars.storeCalls(), e.Vars.LeftOut)
 		}
 	}
+	o.writeLinks(t)
 	fmt.Fprintf(t, "\nservice\tagent\tupstream\tplace\ttaking\tflows\trunning\tslots\tage\n")
 	for _, a := range o.summarizeAgents() {
 		s := a.status
@@ -229,6 +235,20 @@
 	return t.Flush()
 }
 
+// writeLinks writes a table of the entries whose link's rate is given, if there are any.
+func (o Overview) writeLinks(w io.Writer) {
+	header := "\nlink of\tMbit/s\tin use\treserved\tat most\trefused openings\n"
+	for _, e := range o.Entries {
+		l := e.Vars.Link
+		if e.Err != nil || l == nil {
+			continue
+		}
+		fmt.Fprintf(w, "%s%s\t%.1f\t%.0f%%\t%.0f ms\t%.0f ms\t%d\n", header, e.Address, l.Rate/bytesPerMegabit, 100*l.Use, l.ReservedMS, l.MaxDelayMS,
+			e.Vars.Counts[string(director.LinkFull)])
+		header = ""
+	}
+}
+
 // storeCalls returns how many calls the entry has made to the store. It leaves out the
 // count store-errors, as failed calls are counted by their kind, too.
 func (v Vars) storeCalls() int64 {
