Tell a later flow with the same addresses from an earlier one

Cause: entries and agents know a flow by its addresses. A caller's opening from an address and port in use again was taken for a retransmission of the earlier flow's opening and sent to that flow's upstream, past admission and evacuation. A late return of the earlier opening could reset or replace the present flow. A late packet of the earlier flow went from the owner through a search and back to the owner for as long as packets of the present flow ended the search. A reset after the opening named the earlier flow's acknowledgement, which the caller ignores. After an agent's restart a bounced packet could take the frame of another flow, as tags begin at 1 again. A heartbeat of another instance's upstream reset all flows of the present one. A panic left director.Tick's and others' locks held.

Ruled out: a reset for the earlier flow that ends the present one. It names what the late packet or the saved flow has acknowledged; callers begin each flow with another number.

Change: director and relay keep the sequence number of the opening, which copies of an opening share; a packet's context holds its flow; relay.foreign ignores an upstream that already ran while the present one still reported; a packet that its owner refused in a search is not sent there again. Locks are released by deferred calls, and a flow whose packet caused a panic is forgotten.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -48,6 +48,14 @@
 func (d *Director) handleOwned(now time.Duration, from peer.Addr, o peer.OwnerMessage) {
 	s := d.lock(o.Flow)
 	defer s.mu.Unlock()
+	handled := false
+	defer func() { s.forgetUnless(handled, o.Flow) }()
+	d.recordOwner(now, s, from, o)
+	handled = true
+}
+
+// recordOwner is handleOwned with the shard of the flow locked.
+func (d *Director) recordOwner(now time.Duration, s *shard, from peer.Addr, o peer.OwnerMessage) {
 	rec := s.flows[o.Flow]
 	if rec == nil {
 		rec = &flowRecord{created: now}
@@ -77,6 +85,12 @@
 func (d *Director) handleReturned(now time.Duration, from peer.Addr, f *peer.Frame, h segment.Header) {
 	s := d.lock(h.Flow)
 	defer s.mu.Unlock()
+	handled := false
+	defer func() { s.forgetUnless(handled, h.Flow) }()
+	if rec := s.flows[h.Flow]; rec != nil && h.Opens() && !rec.openedWith(h) {
+		handled = true // the opening of an earlier flow with the same addresses
+		return
+	}
 	switch f.OriginalKind {
 	case peer.Place:
 		d.handleReturnedOpening(now, s, f, h)
@@ -85,6 +99,7 @@
 	case peer.Search:
 		d.handleReturnedSearch(now, s, f, h)
 	}
+	handled = true
 }
 
 // handleReturnedDelivery handles a packet that an agent returned because it does not
@@ -117,14 +132,18 @@
 // handleReturnedSearch handles a packet of a search that none of its candidates
 // accepted. It continues with the next stage. After the last one it resets the flow
 // if the search proves that no agent holds it, and else marks the search as
-// inconclusive. It does not reply to a reset.
+// inconclusive. It does not reply to a reset. If the owner has been found in the meantime,
+// the packet is sent to it, unless it is one of those that refused the packet: then the
+// packet is of an earlier flow with the same addresses, and would be returned again and again.
 func (d *Director) handleReturnedSearch(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
 	if rec == nil || rec.gone != nil {
 		return // the flow has been reset, or its record has expired and the caller will retransmit
 	}
 	if !rec.searching {
-		d.deliver(s, rec, f.Packet)
+		if f.Service == 0 || !slices.Contains(f.Candidates, rec.owner) {
+			d.deliver(s, rec, f.Packet)
+		}
 		return
 	}
 	if f.Round != rec.round {
@@ -166,9 +185,7 @@
 // resetOtherStarts resets the cached flows that belong to other known starts of the owner's
 // upstream than the given one, see markGone; 0 means that no upstream runs.
 func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
-	for i := range d.shards {
-		s := &d.shards[i]
-		s.mu.Lock()
+	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
 			rec := s.flows[flow]
@@ -176,8 +193,7 @@
 				d.markGone(now, s, flow, rec)
 			}
 		}
-		s.mu.Unlock()
-	}
+	})
 }
 
 // Tick removes the flows whose idle timeout and idleSlack, or whose lifetime, have
@@ -192,32 +208,26 @@
 		idle = c.IdleTimeout()
 	}
 	idle = min(idle+idleSlack, d.lifetime)
-	for i := range d.shards {
-		s := &d.shards[i]
-		s.mu.Lock()
+	d.eachShard(func(s *shard) {
 		d.repeatResets(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
 				delete(s.flows, flow)
 			}
 		}
-		s.mu.Unlock()
-	}
+	})
 }
 
 // Flows returns the number of cached flows, without those that are known to be gone.
 func (d *Director) Flows() int {
 	n := 0
-	for i := range d.shards {
-		s := &d.shards[i]
-		s.mu.Lock()
+	d.eachShard(func(s *shard) {
 		for _, rec := range s.flows {
 			if rec.gone == nil {
 				n++
 			}
 		}
-		s.mu.Unlock()
-	}
+	})
 	return n
 }
 
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -185,6 +185,8 @@
 		lastSeen     time.Duration // time of the last packet or Owned message
 		waitingPlace waitingPlace  // of an opening that was returned
 		created      time.Duration // when the flow was last placed, else when the record was added
+		placed       bool          // openedBy is set
+		openedBy     uint32        // sequence number of the opening that was placed
 	}
 
 	// Option configures a Director.
@@ -296,6 +298,8 @@
 	}
 	s := d.lock(h.Flow)
 	defer s.mu.Unlock()
+	handled := false
+	defer func() { s.forgetUnless(handled, h.Flow) }()
 	r, ok := config.Lookup(h.Flow.VIP())
 	switch {
 	case !ok:
@@ -305,9 +309,18 @@
 	default:
 		d.handleEstablished(now, s, h, packet)
 	}
+	handled = true
 	return nil
 }
 
+// forgetUnless removes a flow from the cache unless its packet or message was handled to the
+// end: a panic may have left its record incomplete. A search finds the owner again.
+func (s *shard) forgetUnless(handled bool, flow segment.Flow) {
+	if !handled {
+		delete(s.flows, flow)
+	}
+}
+
 // handleUnrouted removes the flow of a packet whose VIP has no route from the cache
 // and resets it, if the configuration is current. It does not reply to a reset.
 func (d *Director) handleUnrouted(now time.Duration, s *shard, h segment.Header) {
@@ -405,3 +418,17 @@
 	s.mu.Lock()
 	return s
 }
+
+// eachShard calls f with each shard in turn, locked during the call.
+func (d *Director) eachShard(f func(*shard)) {
+	for i := range d.shards {
+		d.withShard(&d.shards[i], f)
+	}
+}
+
+// withShard calls f with a shard, locked during the call.
+func (d *Director) withShard(s *shard, f func(*shard)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -34,9 +34,10 @@
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
-// recorded owner if that is usable; otherwise the flow is placed again.
+// recorded owner if that is usable; otherwise the flow is placed again. The opening of a
+// later flow with the same addresses is placed as any other.
 func (d *Director) handleOpening(now time.Duration, s *shard, h segment.Header, r route.Route, packet []byte) {
-	if rec := s.flows[h.Flow]; rec != nil && d.members.usable(now, rec.owner) {
+	if rec := s.flows[h.Flow]; rec != nil && rec.openedWith(h) && d.members.usable(now, rec.owner) {
 		rec.lastSeen = now
 		d.deliver(s, rec, packet)
 		return
@@ -44,6 +45,13 @@
 	d.placeFlow(now, s, h, r, packet)
 }
 
+// openedWith reports whether an opening may be that of the recorded flow: callers begin each
+// flow with another sequence number and keep it when they retransmit the opening. The number
+// is not known of flows that this entry has not placed.
+func (rec *flowRecord) openedWith(h segment.Header) bool {
+	return !rec.placed || rec.openedBy == h.Sequence
+}
+
 // placeFlow selects a service for a new flow and offers the flow to the service's
 // agents. It resets the flow if none of the route's services has a weight. If no agent
 // of the service accepts new flows, it calls refuseOpening.
@@ -59,7 +67,7 @@
 		d.refuseOpening(now, h)
 		return
 	}
-	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now}
+	s.flows[h.Flow] = &flowRecord{owner: list[0], service: service, lastSeen: now, created: now, placed: true, openedBy: h.Sequence}
 	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
 	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Stage: chosenStage, Packet: packet})
 }
@@ -71,7 +79,7 @@
 func (d *Director) handleReturnedOpening(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
 	if rec == nil || rec.gone != nil {
-		rec = &flowRecord{}
+		rec = &flowRecord{placed: true, openedBy: h.Sequence}
 	}
 	if rec.open {
 		return
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -54,9 +54,7 @@
 	if config == nil {
 		return nil
 	}
-	for i := range d.shards {
-		s := &d.shards[i]
-		s.mu.Lock()
+	d.eachShard(func(s *shard) {
 		for flow, rec := range s.flows {
 			r, ok := config.Lookup(flow.VIP())
 			if !rec.open || rec.closed || rec.startID == 0 || !ok {
@@ -73,8 +71,7 @@
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.startID, Acknowledged: rec.acknowledged,
 			}, rec.lastSeen, class})
 		}
-		s.mu.Unlock()
-	}
+	})
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.seen, b.seen), cmp.Compare(a.Flow.Hash(), b.Flow.Hash()))
 	})
@@ -109,13 +106,7 @@
 // reported another start of its upstream, or no known start and no running upstream.
 func (d *Director) RestoreFlows(now time.Duration, flows []FlowSnapshot) {
 	for _, r := range flows {
-		s := d.lock(r.Flow)
-		if s.flows[r.Flow] == nil {
-			s.flows[r.Flow] = &flowRecord{
-				owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
-			}
-		}
-		s.mu.Unlock()
+		d.restoreFlow(now, r)
 	}
 	for _, a := range d.members.list() {
 		if start, known := d.members.upstreamStart(a); known {
@@ -123,3 +114,14 @@
 		}
 	}
 }
+
+// restoreFlow adds a flow to the cache unless it is there already.
+func (d *Director) restoreFlow(now time.Duration, r FlowSnapshot) {
+	s := d.lock(r.Flow)
+	defer s.mu.Unlock()
+	if s.flows[r.Flow] == nil {
+		s.flows[r.Flow] = &flowRecord{
+			owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
+		}
+	}
+}
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -18,20 +18,30 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	handled := false
+	defer func() { r.forgetUnless(handled, now, h.Flow) }()
 	if h.Has(segment.Bounced) {
 		r.handleBounced(now, h, packet)
-		return false, nil
+	} else {
+		reportNow = r.handleAnswer(now, h, packet)
 	}
+	handled = true
+	return reportNow, nil
+}
+
+// handleAnswer handles a packet that the upstream sent to a caller. It reports whether the
+// packet has caused the ejection of the upstream.
+func (r *Relay) handleAnswer(now time.Duration, h segment.Header, packet []byte) (ejected bool) {
 	s := r.flows[h.Flow]
 	inUse := s != nil && s.phase != closed && !s.callerDone && !s.upstreamDone
 	r.recordUpstreamPacket(now, h)
 	r.port.ToCaller(h.Flow, packet)
 	r.serveWaiting(now)
 	if !h.Has(segment.Reset) {
-		return false, nil
+		return false
 	}
 	r.port.RecordDecision(ResetByUpstream, h.Flow, nil)
-	return inUse && r.recordReset(now, h.Flow), nil
+	return inUse && r.recordReset(now, h.Flow)
 }
 
 // recordReset counts an upstream's reset of a flow in use as a failure, and
@@ -52,7 +62,7 @@
 // has accepted. A packet without a context is dropped, see BouncedWithoutContext.
 func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
 	c := &r.contexts[h.Tag%contextCount]
-	if c.tag != h.Tag || c.kind == 0 {
+	if c.tag != h.Tag || c.kind == 0 || c.flow != h.Flow {
 		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
 		return
 	}
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -52,13 +52,14 @@
 )
 
 // handleOpening handles an opening packet: it offers the flow to the upstream, lets the
-// opening wait for it, or forwards the frame to the next candidate.
+// opening wait for it, or forwards the frame to the next candidate. The opening of a later
+// flow with the same addresses as one in the table is admitted as any other.
 func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Header) {
-	if s := r.flows[h.Flow]; s != nil && s.phase != closed {
+	if s := r.flows[h.Flow]; s != nil && s.phase != closed && s.openedWith(h) {
 		r.deliver(now, f, h, s) // a retransmission: the upstream answers it again
 		return
 	}
-	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow }) {
+	if r.waiting.Contains(func(w *waitingOpening) bool { return w.header.Flow == h.Flow && w.header.Sequence == h.Sequence }) {
 		return // a retransmission
 	}
 	switch r.admit(now, f) {
@@ -71,6 +72,13 @@
 	}
 }
 
+// openedWith reports whether an opening may be that of the flow: callers begin each flow with
+// another sequence number and keep it when they retransmit the opening. The number is not
+// known of flows that the relay has not offered.
+func (s *flowState) openedWith(h segment.Header) bool {
+	return s.opening == nil || s.openedBy == h.Sequence
+}
+
 // admit decides about the opening in the frame. It is not offered if the upstream is of
 // another service, does not run or is draining. Until the opening is forced, it needs a
 // free slot of an upstream that is neither ejected nor, unless a flow is due, on trial.
@@ -104,9 +112,13 @@
 	return forwardOpening
 }
 
-// offer offers the flow to the upstream.
+// offer offers the flow to the upstream. It removes an earlier flow with the same addresses,
+// which its caller has given up.
 func (r *Relay) offer(now time.Duration, f *peer.Frame, h segment.Header) {
-	s := &flowState{entry: f.Entry, waitingSince: now, opening: r.load.Open(now)}
+	if earlier := r.flows[h.Flow]; earlier != nil {
+		r.remove(now, h.Flow, earlier)
+	}
+	s := &flowState{entry: f.Entry, waitingSince: now, opening: r.load.Open(now), openedBy: h.Sequence}
 	r.flows[h.Flow] = s
 	r.port.RecordDecision(Offered, h.Flow, f)
 	r.deliver(now, f, h, s)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,6 +54,9 @@
 	// as a new one: the instance's clock may have been set back. It exceeds
 	// three heartbeat intervals.
 	olderStartSilence = 3 * time.Second
+	// foreignOverlap is for how long heartbeats of an upstream that has ended may arrive
+	// after its successor has started: they wait in a socket while the agent is paused.
+	foreignOverlap = 3 * time.Second
 	// deregistrationGrace is the time after its deregistration from which an
 	// upstream counts as ended. It exits at once; this covers late timers.
 	deregistrationGrace = 150 * time.Millisecond
@@ -150,6 +153,7 @@
 		firstSequence uint32             // the upstream's first sequence number
 		acknowledged  uint32             // the caller's last acknowledgement number or expected first, 0 if none
 		opening       *admission.Opening // nil if the relay has not offered the flow
+		openedBy      uint32             // sequence number of the caller's opening, if opening is set
 		running       bool               // a request has had no answer for at most runningTimeout
 		callerDone    bool               // the caller has sent Fin
 		upstreamDone  bool               // the upstream has sent Fin
@@ -167,6 +171,7 @@
 		best       int
 		bestLoad   uint8
 		tag        uint32
+		flow       segment.Flow
 		kind       peer.Kind
 		uncertain  bool
 		stage      int
@@ -202,8 +207,8 @@
 	// ResetByUpstream: the upstream reset a flow.
 	ResetByUpstream Event = "reset-by-upstream"
 	// BouncedWithoutContext: the upstream bounced a packet whose context has
-	// been overwritten or was lost with an earlier process, and the packet was
-	// dropped.
+	// been overwritten or was lost with an earlier process, which used the same tags,
+	// and the packet was dropped.
 	BouncedWithoutContext Event = "returned-without-context"
 	// UpstreamFailing: the upstream was ejected.
 	UpstreamFailing Event = "upstream-failing"
@@ -258,14 +263,26 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	handled := false
+	defer func() { r.forgetUnless(handled, now, h.Flow) }()
 	if h.Opens() {
 		r.handleOpening(now, &f, h)
-		return nil
+	} else {
+		r.handleEstablished(now, &f, h)
 	}
-	r.handleEstablished(now, &f, h)
+	handled = true
 	return nil
 }
 
+// forgetUnless removes a flow from the table, and what it adds to the load, unless its packet
+// was handled to the end: a panic may have left its state incomplete. The upstream knows
+// whether it holds the flow.
+func (r *Relay) forgetUnless(handled bool, now time.Duration, flow segment.Flow) {
+	if s := r.flows[flow]; s != nil && !handled {
+		r.remove(now, flow, s)
+	}
+}
+
 // HandleOwnerQuery answers an entry that asks which agent's upstream holds a
 // flow. It replies only if the flow is accepted in the table and the
 // acknowledgement in the query, if any, matches it. It returns an error if the query
@@ -321,7 +338,7 @@
 	r.recordCallerPacket(now, f, h, s)
 	r.lastTag++
 	c := &r.contexts[r.lastTag%contextCount]
-	c.tag, c.kind, c.uncertain = r.lastTag, f.Kind, f.Uncertain
+	c.tag, c.flow, c.kind, c.uncertain = r.lastTag, h.Flow, f.Kind, f.Uncertain
 	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.patience = f.Patience
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -12,7 +12,8 @@
 
 // HandleHeartbeat records the state that the upstream reported. A heartbeat that
 // is not newer than the last one of the same start is ignored, unless its sequence
-// is 0, and so is a delayed one of an earlier start. The first heartbeat of a new
+// is 0, and so is a delayed one of an earlier start, or one of an upstream that already ran
+// while the present one still reported, see foreign. The first heartbeat of a new
 // start after a known one resets the flows of that one and puts the upstream on trial.
 // HandleHeartbeat reports whether the agent should send its status to other
 // processes at once: if this is the first heartbeat of a start, or since the upstream
@@ -27,6 +28,8 @@
 		return false
 	case !same && r.startID != 0 && u.Born < r.upstream.Born && now-r.lastHeartbeatAt <= olderStartSilence:
 		return false // a delayed heartbeat of an earlier start
+	case !same && r.foreign(now, u):
+		return false
 	}
 	r.lastHeartbeatAt = now
 	if !same && r.startID != 0 {
@@ -44,6 +47,23 @@
 	return changed
 }
 
+// foreign reports whether an upstream other than the present one is not its successor, but
+// reports to a wrong agent: the present one still reports, and has reported more than
+// foreignOverlap after the other one's start. Two upstreams can't run at one address.
+func (r *Relay) foreign(now time.Duration, u Upstream) bool {
+	if r.startID == 0 || !r.alive || u.Age == 0 {
+		return false
+	}
+	return now-r.lastHeartbeatAt <= olderStartSilence && r.lastHeartbeatAt > now-u.Age+foreignOverlap
+}
+
+// Upstream returns the id of the upstream's last start, empty if none is known.
+func (r *Relay) Upstream() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.upstream.ID
+}
+
 // HandleDeregistration records that the upstream with the id is about to stop. It
 // gets no new flows from now on, and Tick resets its flows after
 // deregistrationGrace. An id other than that of the last heartbeat is ignored;
