--- a/pkg/director/reuse_test.go
+++ b/pkg/director/reuse_test.go
@@ -8,6 +8,7 @@
 
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -18,7 +19,7 @@
 	reusePort struct {
 		frames []sentFrame
 		resets []uint32
-		fail   bool // ToProcess panics
+		fail   bool // ToProcess and ToCaller panic
 	}
 
 	sentFrame struct {
@@ -52,6 +53,9 @@
 }
 
 func (p *reusePort) ToCaller(_ segment.Flow, packet []byte) {
+	if p.fail {
+		panic("a fault")
+	}
 	h, err := platform.DecodeFromUpstream(packet)
 	if err != nil {
 		panic(err)
@@ -70,7 +74,7 @@
 	t.Helper()
 	s := &reuseSite{port: &reusePort{}, flow: segment.NewFlow(vipAt(1), vipAt(2)), first: peer.Addr{10, 0, 0, 3}, second: peer.Addr{10, 0, 0, 4}}
 	s.Director = director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, s.port)
-	s.SetConfig(manyConfig(1, time.Second, sameService))
+	s.SetConfig(route.New(1, []route.Route{{Name: "pages", VIP: vipAt(2), Timeout: time.Second, Shares: []route.Share{{Service: "maklerlink", Weight: 1}}}}))
 	s.MergeHolders(nil)
 	s.SetRegistered(0, []peer.Addr{s.first, s.second})
 	s.report(time.Second, 0, 9)
@@ -250,6 +254,16 @@
 	s.send(t, 1100*time.Millisecond, segment.Open, 100, 1)
 	is.Equal(s.Flows(), 1)
 	s.Tick(1200*time.Millisecond, 100*time.Millisecond)
+
+	s.own(t, 1300*time.Millisecond, s.first)
+	s.send(t, 1400*time.Millisecond, segment.Ack, 101, 9)
+	s.port.fail = true
+	is.True(panics(func() {
+		s.HandleReport(1500*time.Millisecond, s.first, peer.Status{Incarnation: 1, Sequence: 99, Service: "maklerlink", Upstream: "u", Born: 7, Taking: true, Slots: 2})
+	}))
+	s.port.fail = false
+	s.Tick(1600*time.Millisecond, 100*time.Millisecond)
+	is.Equal(s.Flows(), 0)
 }
 
 // FuzzHandleCallerPacket checks that no packet of a caller makes a director panic, after
