Relays handle no other frames than openings, deliveries and searches

Cause: fuzzing. A frame of an unknown kind was handled and forwarded, so that an agent passed on what the next one does not decode. Agents call HandleFrame for these three kinds only, so it took a caller of the package to reach it.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -84,7 +84,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var frame peer.Frame
-		if frame.Decode(b) == nil && frame.Hop > len(frame.Candidates) {
+		if frame.Decode(b) == nil && (frame.Hop > len(frame.Candidates) || frame.Best > len(frame.Candidates)) {
 			t.Fatal("hop exceeds the number of candidates")
 		}
 		var o peer.OwnerMessage
@@ -95,3 +95,35 @@
 		_ = peer.DecodeMessage(b, &g)
 	})
 }
+
+// FuzzDecodeMessage checks that no datagram makes the decoder of a message panic, and that
+// what is decoded can be encoded again, as entries pass on what they learn.
+func FuzzDecodeMessage(f *testing.F) {
+	for _, message := range []any{
+		status, peer.GoodbyeMessage{Restarting: true},
+		peer.HelloMessage{
+			Incarnation: 1, ConfigVersion: 2, VerifiedAgo: -1, Entries: []peer.Addr{{10, 0, 0, 1}}, Agents: []peer.Addr{{10, 0, 0, 2}},
+			Evacuation: &peer.Evacuation{Era: 1, Revision: 2, Domains: []string{"leoben"}}, ColdRates: map[string]float64{"huvo11a": 12.5},
+		},
+	} {
+		b, err := peer.Encode(peer.Hello, message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, out := range []any{new(peer.Status), new(peer.HelloMessage), new(peer.GoodbyeMessage), new(peer.Evacuation)} {
+			if peer.DecodeMessage(b, out) != nil {
+				continue
+			}
+			again, err := peer.Encode(peer.Hello, out)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := peer.DecodeMessage(again, out); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -251,14 +251,15 @@
 }
 
 // HandleFrame handles a frame from an entry or another agent. It returns an
-// error if the frame or the packet in it cannot be decoded, or if it is sent to none of the
-// frame's candidates: returned to the entry, it would not be a valid frame.
+// error if the frame or the packet in it cannot be decoded, if it is not a Place, Deliver or
+// Search frame, or if it is sent to none of its candidates: returned to the entry, it would
+// not be a valid frame.
 func (r *Relay) HandleFrame(now time.Duration, datagram []byte) error {
 	var f peer.Frame
 	if err := f.Decode(datagram); err != nil {
 		return err
 	}
-	if f.Hop >= len(f.Candidates) {
+	if f.Kind != peer.Place && f.Kind != peer.Deliver && f.Kind != peer.Search || f.Hop >= len(f.Candidates) {
 		return peer.ErrInvalidFrame
 	}
 	h, err := r.codec.FromCaller(f.Packet)
