A broken log pipe, a failed write or a failed accept ends no process

Cause: a write to the standard output after its reader has ended raises SIGPIPE, which ends a Go program. One failed write ended the log for good. net/http retries an accept that fails for lack of descriptors, but ends the server, and with it the process, at ENOBUFS, ENOMEM or EPROTO.

--- a/internal/daemon/log_writer.go
+++ b/internal/daemon/log_writer.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,18 +40,22 @@
 }
 
 // LogWriter writes log lines in the background. Write never blocks: if the queue is
-// full, the line is dropped and counted.
+// full, the line is dropped and counted. A failed write does not end it, as the next one
+// may succeed.
 type LogWriter struct {
 	queue   chan []byte
 	dropped atomic.Int64
 	sampled atomic.Int64
-	log     atomic.Pointer[zap.Logger]
-	done    chan error
+	// failedWrites counts the writes that failed, before the last one.
+	failedWrites atomic.Int64
+	log          atomic.Pointer[zap.Logger]
+	done         chan error
 }
 
 // NewLogWriter returns a LogWriter and starts its goroutine, which writes lines to w
-// until the context ends or a write fails. At the end of the context it writes the
-// queued lines, up to a batch. It then sends its result on Done.
+// until the context ends. If a write fails, its lines are dropped. At the end of the
+// context it writes the queued lines, up to a batch. It then sends the result of that write
+// on Done.
 func NewLogWriter(ctx context.Context, w io.Writer) *LogWriter {
 	l := &LogWriter{queue: make(chan []byte, maxQueuedLines), done: make(chan error, 1)}
 	go func() { l.done <- l.run(ctx, w) }()
@@ -68,9 +75,16 @@
 // Sync does nothing: lines are written in the background.
 func (l *LogWriter) Sync() error { return nil }
 
-// Dropped returns how many lines were dropped because the queue was full.
+// Dropped returns how many lines were dropped because the queue was full or a write failed.
 func (l *LogWriter) Dropped() int64 { return l.dropped.Load() }
 
+// FailedWrites returns how many writes have failed.
+func (l *LogWriter) FailedWrites() int64 { return l.failedWrites.Load() }
+
+// IgnoreBrokenPipes makes writes to a pipe whose reader has ended return an error. Without
+// it, such a write to the standard output or error ends the process.
+func IgnoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // Sampled returns how many lines were left out by sampling, because too many had the
 // same message.
 func (l *LogWriter) Sampled() int64 { return l.sampled.Load() }
@@ -95,7 +109,8 @@
 		l.logLeftOut(&reported)
 		batch = l.drain(batch)
 		if _, err := w.Write(batch); err != nil {
-			return err
+			l.failedWrites.Add(1)
+			l.dropped.Add(int64(bytes.Count(batch, []byte("\n"))))
 		}
 		batch = batch[:0]
 	}
--- a/internal/daemon/log_writer_test.go
+++ b/internal/daemon/log_writer_test.go
@@ -3,8 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"os/exec"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -74,3 +79,65 @@
 	is.NoErr(<-writer.Done())
 	is.True(bytes.Contains(out.Bytes(), []byte(daemon.LeftOutMessage)))
 }
+
+// failingWriter fails its first writes, like a full disk.
+type failingWriter struct {
+	failures int
+	out      chan string
+}
+
+func (w *failingWriter) Write(b []byte) (int, error) {
+	if w.failures > 0 {
+		w.failures--
+		return 0, syscall.ENOSPC
+	}
+	w.out <- string(b)
+	return len(b), nil
+}
+
+// TestLogWriterGoesOnAfterFailedWrite guards against the loss of all later log lines after one
+// failed write.
+func TestLogWriterGoesOnAfterFailedWrite(t *testing.T) {
+	is := is.New(t)
+	w := &failingWriter{failures: 1, out: make(chan string, 10)}
+	ctx, cancel := context.WithCancel(context.Background())
+	writer := daemon.NewLogWriter(ctx, w)
+	_, err := writer.Write([]byte("lost\n"))
+	is.NoErr(err)
+	for writer.FailedWrites() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = writer.Write([]byte("written\n"))
+	is.NoErr(err)
+	is.Equal(<-w.out, "written\n")
+	is.Equal(writer.Dropped(), int64(1))
+	cancel()
+	is.NoErr(<-writer.Done())
+}
+
+// brokenPipeVariable makes TestProcessSurvivesBrokenPipe write to its standard output.
+const brokenPipeVariable = "HICKORYHOOK_TEST_BROKEN_PIPE"
+
+// TestProcessSurvivesBrokenPipe guards against the end of a process when the reader of its log
+// has ended: a write to a broken pipe on the standard output ends a Go program by default.
+func TestProcessSurvivesBrokenPipe(t *testing.T) {
+	is := is.New(t)
+	if os.Getenv(brokenPipeVariable) != "" {
+		daemon.IgnoreBrokenPipes()
+		_, err := os.Stdout.WriteString("a line\n")
+		if !errors.Is(err, syscall.EPIPE) {
+			os.Exit(3)
+		}
+		os.Exit(0)
+	}
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	is.NoErr(reader.Close())
+	defer writer.Close()
+	self, err := os.Executable()
+	is.NoErr(err)
+	cmd := exec.Command(self, "-test.run=^TestProcessSurvivesBrokenPipe$")
+	cmd.Env = append(os.Environ(), brokenPipeVariable+"=1")
+	cmd.Stdout = writer
+	is.NoErr(cmd.Run())
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
 	}
-	m.listener = listener
+	m.listener = KeepAccepting(listener, func(error) {})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", m.serve)
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.IgnoreBrokenPipes()
 	logCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	logWriter := daemon.NewLogWriter(logCtx, os.Stdout)
 	defer func() {
@@ -87,6 +88,7 @@
 	logWriter.ReportLeftOut(log)
 	p, err := r.start(s, log,
 		fleet.WithGauge("log-lines-dropped", func() any { return logWriter.Dropped() }),
+		fleet.WithGauge("log-writes-failed", func() any { return logWriter.FailedWrites() }),
 		fleet.WithGauge("log-lines-sampled", func() any { return logWriter.Sampled() }))
 	if err != nil {
 		return err
