Handle a fault per message; bound what is read from outside

Cause: a panic while one datagram was handled ended the process. Saved flows with an address that is not IPv4 ended an entry at each start, and an agent without heartbeat-ms panicked in its timer. A hello message whose age of the verification overflows made the configuration count as verified in the future, so that it was not read again; one with a version that nobody has stayed the newest heard for ever. Counters are named by error texts, which malformed messages choose, and lists of addresses were kept without a limit. A heartbeat of another instance hid the upstream's silence.

Ruled out: that an answer of the store ends a task (TestProcessesSurviveGarbageOfStore), and that a lock stays held after a panic on the path of a datagram.

Limits: 16,384 processes and 64 KiB of saved flows read from the store, 2 MiB a batch of the collector, 4,096 known entries, 16,384 records of hello messages, 256 counters; HTTP servers bound headers to 16 KiB, reading a call to 10 s and idle connections to 2 min. Flows that cannot be encoded no longer end the task that saves them.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -36,6 +36,8 @@
 	// closeDelay is the pause of a stopping agent before it closes its sockets,
 	// so that its last packets and messages are sent first.
 	closeDelay = 20 * time.Millisecond
+	// minHeartbeatInterval is the shortest heartbeat interval in the settings of an agent.
+	minHeartbeatInterval = 10 * time.Millisecond
 	// discoveryInterval is how often an agent without a live entry reads the
 	// entries from the store.
 	discoveryInterval = time.Second
@@ -60,6 +62,9 @@
 	if !s.UpstreamAddress.IsValid() || !s.OutboundAddress.IsValid() || !s.ControlAddress.IsValid() || s.Service == "" {
 		return nil, errors.New("settings: an agent needs app, service, listen.outbound and listen.control")
 	}
+	if s.HeartbeatInterval < minHeartbeatInterval {
+		return nil, errors.Errorf("settings: an agent needs heartbeat-ms of at least %d", minHeartbeatInterval.Milliseconds())
+	}
 	p, err := newProcess(s, log, options...)
 	if err != nil {
 		return nil, err
@@ -81,8 +86,8 @@
 	defer cancel()
 	a.entries.add(a.now(), a.seeds()...)
 	tasks := []task{
-		{"peers", func(context.Context) error { return a.receive(a.peerConn, a.handlePeerDatagram) }},
-		{"upstream", func(context.Context) error { return a.receive(a.upstreamConn, a.handleUpstreamPacket) }},
+		{"peers", func(context.Context) error { return a.receive("peers", a.peerConn, a.handlePeerDatagram) }},
+		{"upstream", func(context.Context) error { return a.receive("upstream", a.upstreamConn, a.handleUpstreamPacket) }},
 		{"tick", every(tickInterval, func() { a.relay.Tick(a.now()) })},
 		{"report", a.everyWithFastStart(a.needsFastStart, reportInterval, a.report)},
 		{"check upstream", every(a.settings.HeartbeatInterval/4, a.checkOverdueUpstream)},
@@ -97,7 +102,7 @@
 	}
 	// Before any line of the tasks: it marks where the lines of this process begin.
 	a.log.Info("agent started", zap.String("service", a.settings.Service))
-	ends := startTasks(taskCtx, tasks)
+	ends := a.startTasks(taskCtx, tasks)
 	a.probeUpstreamAtStart()
 	a.report()
 	var failure error
@@ -256,7 +261,7 @@
 // to the entries at once if the upstream's state changed. It rejects with 400 a
 // heartbeat that cannot be decoded or is for another service.
 func (a *Agent) handleHeartbeat(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(req.Body, maxHeartbeatBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxHeartbeatBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -272,11 +277,13 @@
 		return
 	}
 	now := a.now()
-	a.lastHeartbeat.Store(int64(now))
-	a.upstreamEnded.Store(false)
 	changed := a.relay.HandleHeartbeat(now, relay.Upstream{
 		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor, Age: age(h.Born, time.Now()),
 	})
+	if a.relay.Upstream() == h.ID {
+		a.lastHeartbeat.Store(int64(now))
+		a.upstreamEnded.Store(false)
+	}
 	if changed {
 		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
 			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor))
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -46,6 +46,9 @@
 	// maxHelloLatency exceeds the time that a hello message takes between two
 	// entries. It is added to the age of a verification that a hello message reports.
 	maxHelloLatency = 50 * time.Millisecond
+	// maxVerifiedAgo is the largest age, in milliseconds, of a verification in a hello
+	// message that is used: one that overflows would lie in the future.
+	maxVerifiedAgo = int64(time.Hour / time.Millisecond)
 	// watcherCount is how many entries, those of the lowest ranks, watch the
 	// configuration in the store on behalf of all. There is more than one
 	// because the loss of an entry goes undetected for 1.3 s, see entryTimeout.
@@ -275,13 +278,14 @@
 func (c *configSync) handleHello(from peer.Addr, hello peer.HelloMessage) {
 	config := c.director.Config()
 	c.mu.Lock()
-	if hello.ConfigVersion > 0 && hello.ConfigVersion >= c.newestHeard {
+	expired := c.now()-c.newestHeardAt >= newestHeardTimeout
+	if hello.ConfigVersion > 0 && (hello.ConfigVersion >= c.newestHeard || expired) {
 		c.newestHeard, c.newestHeardAt = hello.ConfigVersion, c.now()
 	}
 	c.mu.Unlock()
 	// A verification in an ended era says nothing about the present one.
 	sameEra := hello.StoreEra >= c.store.Era()
-	if config != nil && config.Version() == hello.ConfigVersion && hello.VerifiedAgo >= 0 && sameEra {
+	if config != nil && config.Version() == hello.ConfigVersion && hello.VerifiedAgo >= 0 && hello.VerifiedAgo <= maxVerifiedAgo && sameEra {
 		c.director.MarkVerified(c.now() - time.Duration(hello.VerifiedAgo)*time.Millisecond - maxHelloLatency)
 	}
 	if hello.ConfigVersion == 0 || config != nil && config.Version() >= hello.ConfigVersion {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -83,8 +83,8 @@
 	defer cancel()
 	e.entries.add(e.now(), e.otherSeeds()...)
 	tasks := []task{
-		{"callers", func(context.Context) error { return e.receive(e.callerConn, e.handleCallerPacket) }},
-		{"peers", func(context.Context) error { return e.receive(e.peerConn, e.handlePeerDatagram) }},
+		{"callers", func(context.Context) error { return e.receive("callers", e.callerConn, e.handleCallerPacket) }},
+		{"peers", func(context.Context) error { return e.receive("peers", e.peerConn, e.handlePeerDatagram) }},
 		{"tick", every(tickInterval, e.tick)},
 		{"hello", e.everyWithFastStart(e.needsFastStart, reportInterval, e.sendHello)},
 		{"register", e.register},
@@ -112,7 +112,7 @@
 		tasks = append(tasks, e.httpTask(e.settings.ControlAddress, readyHandler(e.ready)))
 	}
 	e.log.Info("entry started") // before any line of the tasks: it marks where the lines of this process begin
-	ends := startTasks(taskCtx, tasks)
+	ends := e.startTasks(taskCtx, tasks)
 	e.sendHello()
 	var failure error
 	running := len(tasks)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -391,3 +392,36 @@
 	s.start(entry)()
 	is.Equal(first(), "entry started")
 }
+
+// TestProcessesSurviveGarbageOfStore guards against the end of a process because the store, or
+// something in front of it, answers garbage: none of the tasks may end.
+func TestProcessesSurviveGarbageOfStore(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t, 83)
+	garbage := []string{
+		"\x00\xff", "null", "[]", `{"items":null,"has-more":true}`, `{"items":[{"key":""}],"has-more":true}`,
+		`{"key":"op/config","value":"e30=","rev":1}`, `{"lease":0,"ttl-ms":-1}`, `{"events":[{"key":"op/config"}],"as-of":18446744073709551615}`,
+		`{"items":[{"key":"hickoryhook/agents","value":"AAAA"},{"key":"hickoryhook/holders","value":"AAAA"}],"has-more":true}`,
+		`{"items":[{"key":"hickoryhook/entry/x","value":"AAAA"},{"key":"hickoryhook/entry/0.0.0.0"}]}`,
+	}
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n := calls.Add(1)
+		if n%7 == 0 {
+			w.Header().Set("Store-Era", "x")
+		}
+		w.WriteHeader([]int{200, 200, 200, 404, 410, 500}[n%6])
+		_, _ = w.Write([]byte(garbage[int(n)%len(garbage)]))
+	}))
+	t.Cleanup(server.Close)
+	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	agent, err := fleet.NewAgent(s.settings(2), zap.NewNop())
+	is.NoErr(err)
+	entry, err := fleet.NewEntry(s.settings(1), zap.NewNop())
+	is.NoErr(err)
+	stopAgent, stopEntry := s.start(agent), s.start(entry)
+	s.eventually("the store has answered many calls", func() bool { return calls.Load() > 60 })
+	s.sendHeartbeat("ready", 1) // the agent still serves
+	stopEntry()                 // fails the test if a task has ended before
+	stopAgent()
+}
--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -37,10 +37,17 @@
 	maxTxnWrites = 32
 	// maxSavedFlowsBytes bounds the encoded flows of one entry.
 	maxSavedFlowsBytes = 64 << 10
+	// maxBatchBytes bounds the encoded flows of one batch. An entry whose flows do not fit
+	// turns to the next collector.
+	maxBatchBytes = 2 << 20
 )
 
-// errStoreUnavailable reports a collector that did not get the flows into the store.
-var errStoreUnavailable = errors.New("the store does not answer the collector")
+var (
+	// errStoreUnavailable reports a collector that did not get the flows into the store.
+	errStoreUnavailable = errors.New("the store does not answer the collector")
+	// errBatchFull reports flows that exceed maxBatchBytes.
+	errBatchFull = errors.New("too many flows for one write")
+)
 
 type (
 	// flowCollector writes the saved flows of the entries of a failure domain to the
@@ -55,6 +62,7 @@
 	// flowBatch holds the flows that are written together.
 	flowBatch struct {
 		values  map[peer.Addr][]byte // encoded flows by entry
+		size    int                  // bytes of flows that were added
 		written chan struct{}        // closed after the write
 		era     uint64               // of the store, before the write
 		err     error                // of the write
@@ -66,16 +74,13 @@
 }
 
 // add adds the flows of an entry to the next write and waits for its result. It returns the
-// era of the store in which they were written at the latest.
+// era of the store in which they were written at the latest, and errBatchFull if the flows do
+// not fit into that write.
 func (c *flowCollector) add(ctx context.Context, entry peer.Addr, value []byte) (era uint64, err error) {
-	c.mu.Lock()
-	if c.batch == nil {
-		c.batch = &flowBatch{values: make(map[peer.Addr][]byte), written: make(chan struct{})}
-		c.started <- struct{}{}
+	b, err := c.join(entry, value)
+	if err != nil {
+		return 0, err
 	}
-	b := c.batch
-	b.values[entry] = value
-	c.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return 0, ctx.Err()
@@ -84,6 +89,23 @@
 	}
 }
 
+// join adds the flows of an entry to the present batch, or to a new one if there is none.
+func (c *flowCollector) join(entry peer.Addr, value []byte) (*flowBatch, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.batch == nil {
+		c.batch = &flowBatch{values: make(map[peer.Addr][]byte), written: make(chan struct{})}
+		c.started <- struct{}{}
+	}
+	b := c.batch
+	if b.size+len(value) > maxBatchBytes {
+		return nil, errBatchFull
+	}
+	b.size += len(value)
+	b.values[entry] = value
+	return b, nil
+}
+
 // run writes the batches until the context ends.
 func (c *flowCollector) run(ctx context.Context) error {
 	for {
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	// maxAgentsPerHello bounds the agents listed in the reply to an entry, so
 	// that the datagram stays below 1,400 bytes.
 	maxAgentsPerHello = 200
+	// maxAgentHellos is the number of records of hello messages above which those older
+	// than agentHelloRetention are removed.
+	maxAgentHellos      = 16 << 10
+	agentHelloRetention = 10 * time.Second
 )
 
 type (
@@ -52,6 +57,8 @@
 
 // take reports whether at least interval has passed since the last hello message to an
 // agent. Then the caller must send one, which lists the live entries if withEntries is true.
+// It reports false for a new agent while there are too many, as lists of agents may name
+// addresses at which there is none.
 func (h *agentHellos) take(now time.Duration, agent peer.Addr, interval time.Duration) (due, withEntries bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -59,6 +66,12 @@
 	if ok && now-last.at < interval {
 		return false, false
 	}
+	if !ok && len(h.last) >= maxAgentHellos {
+		maps.DeleteFunc(h.last, func(_ peer.Addr, last agentHello) bool { return now-last.at > agentHelloRetention })
+		if len(h.last) >= maxAgentHellos {
+			return false, false
+		}
+	}
 	h.last[agent] = agentHello{at: now, count: last.count + 1}
 	return true, last.count%replyHelloEvery == 0
 }
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -72,12 +72,22 @@
 // value is nil if the store has none. If value cannot be decoded, nothing is merged
 // and the director stays unsettled until it gets the flow holders elsewhere.
 func (c *configSync) mergeHolders(value []byte) {
-	holders := make(map[netip.AddrPort][]string)
-	if value != nil {
-		if err := json.Unmarshal(value, &holders); err != nil {
-			c.log.Error("flow holders not decoded", daemon.Err(err))
-			return
-		}
+	holders, err := decodeHolders(value)
+	if err != nil {
+		c.log.Error("flow holders not decoded", daemon.Err(err))
+		return
 	}
 	c.director.MergeHolders(holders)
 }
+
+// decodeHolders decodes the flow holders that putHolders has written; nil stands for none.
+func decodeHolders(value []byte) (map[netip.AddrPort][]string, error) {
+	holders := make(map[netip.AddrPort][]string)
+	if value == nil {
+		return holders, nil
+	}
+	if err := json.Unmarshal(value, &holders); err != nil {
+		return nil, errors.Wrap(err, "decode holders")
+	}
+	return holders, nil
+}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -15,6 +15,12 @@
 	longestLatency  = 30_000_000
 	latencyDigits   = 2
 
+	// maxCounters bounds the counters of a process. Some are named by the text of an
+	// error, which may hold numbers from the message that caused it. otherCounts is the
+	// counter of the names beyond.
+	maxCounters = 256
+	otherCounts = "other"
+
 	// MetricsPort is the port on which a process of the platform serves its
 	// metrics, at /debug/vars. deploy/system.toml names it, too.
 	MetricsPort = 9402
@@ -40,13 +46,16 @@
 	}
 )
 
-// increment adds 1 to a counter.
+// increment adds 1 to a counter, or to otherCounts if there are maxCounters already.
 func (m *metrics) increment(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.counts == nil {
 		m.counts = make(map[string]int64)
 	}
+	if _, ok := m.counts[name]; !ok && len(m.counts) >= maxCounters {
+		name = otherCounts
+	}
 	m.counts[name]++
 }
 
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -170,13 +170,22 @@
 	if err != nil {
 		return registrations{}, err
 	}
+	return decodeRegistrations(value)
+}
+
+// decodeRegistrations decodes the response of serveRegistrations. It returns an error if it
+// lists more than maxProcesses agents or one has an address that no process can have.
+func decodeRegistrations(value []byte) (registrations, error) {
 	var r registrations
 	if err := json.Unmarshal(value, &r); err != nil {
 		return registrations{}, errors.Wrap(err, "fetch from entry")
 	}
+	if len(r.Agents) > maxProcesses {
+		return registrations{}, errors.Errorf("fetch from entry: list of %d agents", len(r.Agents))
+	}
 	for _, text := range r.Agents {
 		a, err := netip.ParseAddr(text)
-		if err != nil || !a.Is4() {
+		if err != nil || !a.Is4() || !isUnicast(peer.NewAddr(a)) {
 			return registrations{}, errors.Errorf("fetch from entry: invalid agent address %q", text)
 		}
 		r.addresses = append(r.addresses, peer.NewAddr(a))
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -43,12 +43,24 @@
 	// dropped and no longer receives messages. It is longer than any network
 	// partition or stop after which an entry returns under the same address.
 	entryRetention = time.Minute
+	// maxEntries bounds the entries that a process knows: a hello message may list
+	// addresses at which there is none, and each gets messages for entryRetention.
+	maxEntries = 4096
 	// socketBufferBytes is the buffer size requested from the kernel for each
 	// direction of a UDP socket; it holds 20 ms of a link at 1,000 Mbit/s.
 	socketBufferBytes = 2 << 20
 	// headerTimeout bounds how long a client of the process's HTTP servers may
 	// take to send its headers.
 	headerTimeout = 2 * time.Second
+	// readTimeout bounds how long it may take to send a whole call, and idleTimeout how
+	// long it may leave a connection unused: each holds a file descriptor. A call's answer
+	// must not take longer than readTimeout.
+	readTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a call to the process's HTTP servers.
+	maxHeaderBytes = 16 << 10
+	// receiveRetryDelay is the pause after a failed read of a socket.
+	receiveRetryDelay = time.Millisecond
 	// storeTimeout bounds the calls to the store of one operation, except a watch
 	// and the last call of an entry, and bounds an HTTP call to another entry. A
 	// call to the store usually takes 4 ms, and 60 times as long when it is slow.
@@ -74,6 +86,7 @@
 		entries  *entrySet
 		codec    platform.PacketCodec
 		metrics  metrics
+		panics   panicLog
 		gauges   map[string]func() any // of WithGauge
 	}
 
@@ -209,10 +222,10 @@
 	}
 }
 
-// receive passes datagrams to handle until the socket is closed. It counts
-// those that handle rejects by the text of the error. handle must not retain b,
-// which the next datagram overwrites.
-func (p *process) receive(conn *net.UDPConn, handle func(from netip.AddrPort, b []byte) error) error {
+// receive passes the datagrams of the socket with the given name to handle until it is
+// closed. It counts those that handle rejects by the text of the error. handle must not
+// retain b, which the next datagram overwrites.
+func (p *process) receive(name string, conn *net.UDPConn, handle func(from netip.AddrPort, b []byte) error) error {
 	buf := make([]byte, peer.MaxFrame+1)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
@@ -222,9 +235,10 @@
 		if err != nil {
 			p.metrics.increment("receive-errors")
 			p.log.Warn("datagram not read", daemon.Err(err))
+			time.Sleep(receiveRetryDelay)
 			continue
 		}
-		if err := handle(from, buf[:n]); err != nil {
+		if err := p.handleDatagram(name, from, buf[:n], handle); err != nil {
 			p.metrics.increment("dropped: " + err.Error())
 		}
 	}
@@ -237,7 +251,14 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		listener = daemon.KeepAccepting(listener, func(err error) {
+			p.metrics.increment("accept-errors")
+			p.log.Warn("connection not accepted", daemon.Err(err))
+		})
+		server := &http.Server{
+			Handler: p.recoverHTTP(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -306,11 +327,11 @@
 
 // startTasks starts the tasks and returns a channel that receives the result of
 // each when it ends.
-func startTasks(ctx context.Context, tasks []task) <-chan error {
+func (p *process) startTasks(ctx context.Context, tasks []task) <-chan error {
 	ends := make(chan error, len(tasks))
 	for _, t := range tasks {
 		go func() {
-			err := t.run(ctx)
+			err := p.runTask(func() error { return t.run(ctx) })
 			if err != nil {
 				err = errors.Wrap(err, t.name)
 			}
@@ -327,13 +348,13 @@
 }
 
 // add adds addresses of entries that may exist and returns those that were
-// unknown.
+// unknown. It leaves out those beyond maxEntries and addresses that no process can have.
 func (s *entrySet) add(now time.Duration, addresses ...peer.Addr) []peer.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var added []peer.Addr
 	for _, a := range addresses {
-		if _, ok := s.byAddr[a]; !ok {
+		if _, ok := s.byAddr[a]; !ok && isUnicast(a) && len(s.byAddr) < maxEntries {
 			s.byAddr[a] = &entryInfo{added: now}
 			added = append(added, a)
 		}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,10 @@
 	// unregisterTimeout bounds the last call of an entry to the store.
 	unregisterTimeout = 100 * time.Millisecond
 
+	// maxProcesses bounds the registered entries, and the agents, that are read from the
+	// store: each gets a hello message. It exceeds the 10,000 processes of a large fleet.
+	maxProcesses = 16 << 10
+
 	storePrefix = "hickoryhook/"
 	entryPrefix = storePrefix + "entry/"
 	agentsKey   = storePrefix + "agents"
@@ -61,6 +66,9 @@
 			p.addRegistryItem(&r, item)
 			after = item.Key
 		}
+		if len(r.entries) > maxProcesses {
+			return registry{}, errors.Errorf("more than %d entries are registered", maxProcesses)
+		}
 		if !page.More || len(page.Items) == 0 {
 			return r, nil
 		}
@@ -75,13 +83,15 @@
 		return
 	}
 	if item.Key == agentsKey {
-		if err := cbor.Unmarshal(item.Value, &r.agents); err != nil {
+		agents, err := decodeAgents(item.Value)
+		if err != nil {
 			p.log.Error("list of agents not decoded", daemon.Err(err))
 		}
+		r.agents = agents
 		return
 	}
 	if text, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
-		if a, err := netip.ParseAddr(text); err == nil && a.Is4() {
+		if a, err := netip.ParseAddr(text); err == nil && a.Is4() && isUnicast(peer.NewAddr(a)) {
 			r.entries = append(r.entries, peer.NewAddr(a))
 			return
 		}
@@ -89,6 +99,27 @@
 	p.log.Warn("unexpected key in the store", zap.String("key", item.Key))
 }
 
+// decodeAgents decodes the list of agents in the store. It returns an error if there are more
+// than maxProcesses or one has an address that no process can have.
+func decodeAgents(value []byte) ([]peer.Addr, error) {
+	var agents []peer.Addr
+	if err := cbor.Unmarshal(value, &agents); err != nil {
+		return nil, errors.Wrap(err, "decode agents")
+	}
+	if len(agents) > maxProcesses {
+		return nil, errors.Errorf("decode agents: list of %d", len(agents))
+	}
+	if i := slices.IndexFunc(agents, func(a peer.Addr) bool { return !isUnicast(a) }); i >= 0 {
+		return nil, errors.Errorf("decode agents: address %s", agents[i])
+	}
+	return agents, nil
+}
+
+// isUnicast reports whether a process can have the address.
+func isUnicast(a peer.Addr) bool {
+	return !a.Addr().IsUnspecified() && !a.Addr().IsMulticast() && a != peer.Addr{255, 255, 255, 255}
+}
+
 // register keeps the registration of an entry in the store until the context
 // ends, and then removes it.
 func (e *Entry) register(ctx context.Context) error {
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -72,10 +72,7 @@
 	var saved savedFlows
 	for ctx.Err() == nil {
 		begin, era := e.now(), e.eras.era()
-		size, err := e.saveChangedFlows(ctx, &saved)
-		if err != nil {
-			return err
-		}
+		size := e.saveChangedFlows(ctx, &saved)
 		pause := flowsPause(size, e.entries.domainCount(begin, e.settings.FailureDomain), e.settings.StoreWritesPerSecond)
 		e.sleepInEra(ctx, era, pause-(e.now()-begin))
 	}
@@ -83,19 +80,19 @@
 }
 
 // saveChangedFlows writes the entry's flows to the store if they differ from the saved ones
-// or if the store may have lost these. It returns the size of what it tried to write, and an
-// error if the flows cannot be encoded.
-func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows) (size int, err error) {
+// or if the store may have lost these. It returns the size of what it tried to write.
+func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows) (size int) {
 	if saved.era < e.store.Era() {
 		saved.flows = nil
 	}
 	flows := e.director.SnapshotFlows(e.now(), maxSavedFlows)
 	if !director.SnapshotOutdated(saved.flows, flows) {
-		return 0, nil
+		return 0
 	}
 	value, err := encodeFlows(flows)
 	if err != nil {
-		return 0, err
+		e.log.Error("flows not saved", daemon.Err(err))
+		return 0
 	}
 	term := collectorTermAt(time.Now())
 	if term != saved.term {
@@ -105,10 +102,10 @@
 	if err != nil {
 		e.metrics.increment("store-errors")
 		saved.failures++
-		return len(value), nil
+		return len(value)
 	}
 	saved.flows, saved.era = flows, era
-	return len(value), nil
+	return len(value)
 }
 
 // flowsPause returns the time from a write of saved flows of a size in bytes to the next, in a
@@ -185,14 +182,21 @@
 	return value, nil
 }
 
-// decodeFlows decodes the flows that encodeFlows has encoded.
+// decodeFlows decodes the flows that encodeFlows has encoded. It returns an error if they
+// exceed maxSavedFlowsBytes or name an address that no flow can have.
 func decodeFlows(value []byte) ([]director.FlowSnapshot, error) {
+	if len(value) > maxSavedFlowsBytes {
+		return nil, errors.Errorf("decode flows: %d bytes", len(value))
+	}
 	var groups []flowGroup
 	if err := cbor.Unmarshal(value, &groups); err != nil {
 		return nil, errors.Wrap(err, "decode flows")
 	}
 	var flows []director.FlowSnapshot
 	for _, g := range groups {
+		if !g.VIP.Addr().Unmap().Is4() {
+			return nil, errors.Errorf("decode flows: VIP %s", g.VIP)
+		}
 		for b := g.Callers; len(b) >= callerRecordBytes; b = b[callerRecordBytes:] {
 			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
 			flows = append(flows, director.FlowSnapshot{
