--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -37,6 +37,9 @@
 	maxTxnWrites = 32
 	// maxSavedFlowsBytes bounds the encoded flows of one entry.
 	maxSavedFlowsBytes = 64 << 10
+	// maxBatchBytes bounds the encoded flows of one batch. An entry whose flows do not fit
+	// turns to the next collector.
+	maxBatchBytes = 2 << 20
 )
 
 var (
@@ -44,6 +47,8 @@
 	errStoreUnavailable = errors.New("the store does not answer the collector")
 	// errBatchOutdated reports flows that a collector has dropped, see flowCollector.run.
 	errBatchOutdated = errors.New("the flows have waited too long to be written")
+	// errBatchFull reports flows that exceed maxBatchBytes.
+	errBatchFull = errors.New("too many flows for one write")
 )
 
 type (
@@ -60,6 +65,7 @@
 	flowBatch struct {
 		begun   time.Time            // when the first flows were added
 		values  map[peer.Addr][]byte // encoded flows by entry
+		size    int                  // bytes of flows that were added
 		written chan struct{}        // closed after the write
 		era     uint64               // of the store, before the write
 		err     error                // of the write
@@ -71,16 +77,13 @@
 }
 
 // add adds the flows of an entry to the next write and waits for its result. It returns the
-// era of the store in which they were written at the latest.
+// era of the store in which they were written at the latest, and errBatchFull if the flows do
+// not fit into that write.
 func (c *flowCollector) add(ctx context.Context, entry peer.Addr, value []byte) (era uint64, err error) {
-	c.mu.Lock()
-	if c.batch == nil {
-		c.batch = &flowBatch{begun: time.Now(), values: make(map[peer.Addr][]byte), written: make(chan struct{})}
-		c.started <- struct{}{}
+	b, err := c.join(entry, value)
+	if err != nil {
+		return 0, err
 	}
-	b := c.batch
-	b.values[entry] = value
-	c.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return 0, ctx.Err()
@@ -89,6 +92,23 @@
 	}
 }
 
+// join adds the flows of an entry to the present batch, or to a new one if there is none.
+func (c *flowCollector) join(entry peer.Addr, value []byte) (*flowBatch, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.batch == nil {
+		c.batch = &flowBatch{begun: time.Now(), values: make(map[peer.Addr][]byte), written: make(chan struct{})}
+		c.started <- struct{}{}
+	}
+	b := c.batch
+	if b.size+len(value) > maxBatchBytes {
+		return nil, errBatchFull
+	}
+	b.size += len(value)
+	b.values[entry] = value
+	return b, nil
+}
+
 // run writes the batches until the context ends. It drops one that is older than
 // collectTimeout, as after a pause of this process: the entries have turned to another
 // collector, which may have written newer flows.
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -34,25 +34,33 @@
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
-// recorded owner if that is usable; otherwise the flow is placed again. An opening of a
-// flow without a record is placed only if the link admits it.
+// recorded owner if that is usable; otherwise the flow is placed again. Any other opening,
+// also of a later flow with the same addresses, is placed only if the link admits it.
 func (d *Director) handleOpening(now time.Duration, s *shard, h segment.Header, r route.Route, packet []byte) {
 	rec := s.flows[h.Flow]
-	if rec != nil && d.members.usable(now, rec.owner) {
+	isCopy := rec != nil && rec.openedWith(h)
+	if isCopy && d.members.usable(now, rec.owner) {
 		rec.lastSeen = now
 		d.accountOpening(now, rec, h, rec.closed, len(packet)) // the caller uses the port of a closed flow again
 		d.deliver(s, rec, packet)
 		return
 	}
-	if rec == nil && d.refuseByLink(now, h, r, len(packet)) {
+	if !isCopy && d.refuseByLink(now, h, r, len(packet)) {
 		return
 	}
 	d.placeFlow(now, s, h, r, packet)
 	if placed := s.flows[h.Flow]; placed != nil {
-		d.accountOpening(now, placed, h, rec == nil, len(packet))
+		d.accountOpening(now, placed, h, !isCopy, len(packet))
 	}
 }
 
+// openedWith reports whether an opening may be that of the recorded flow: callers begin each
+// flow with another sequence number and keep it when they retransmit the opening. The number
+// is not known of flows that this entry has not placed.
+func (r *flowRecord) openedWith(h segment.Header) bool {
+	return !r.placed || r.openedBy == h.Sequence
+}
+
 // placeFlow selects a service for a new flow and offers the flow to the service's
 // agents. It resets the flow if none of the route's services has a weight. If no agent
 // of the service accepts new flows, it calls refuseOpening.
@@ -68,7 +76,7 @@
 		d.refuseOpening(now, service, h)
 		return
 	}
-	rec := &flowRecord{owner: list[0], service: service, opening: h.Sequence, lastSeen: now, created: now}
+	rec := &flowRecord{owner: list[0], service: service, placed: true, openedBy: h.Sequence, lastSeen: now, created: now}
 	if old := s.flows[h.Flow]; old != nil {
 		rec.link = old.link
 	}
@@ -124,7 +132,7 @@
 // another sequence number.
 func (r *flowRecord) isLateCopy(h segment.Header) bool {
 	established := r.searching || r.acknowledged != 0
-	return established && !r.closed && (h.Acknowledged > 0 || r.opening == h.Sequence)
+	return established && !r.closed && (h.Acknowledged > 0 || r.placed && r.openedBy == h.Sequence)
 }
 
 // openingStage returns a frame with the service, the candidates and the conditions of a
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -58,6 +58,9 @@
 	// the upstream is ignored. An agent that was paused may handle the two calls in either
 	// order. An upstream that goes on after all is used again after that time.
 	lateHeartbeat = 3 * time.Second
+	// foreignOverlap is for how long heartbeats of an upstream that has ended may arrive
+	// after its successor has started: they wait in a socket while the agent is paused.
+	foreignOverlap = 3 * time.Second
 	// deregistrationGrace is the time after its deregistration from which an
 	// upstream counts as ended. It exits at once; this covers late timers.
 	deregistrationGrace = 150 * time.Millisecond
@@ -154,6 +157,7 @@
 		firstSequence uint32             // the upstream's first sequence number
 		acknowledged  uint32             // the caller's last acknowledgement number or expected first, 0 if none
 		opening       *admission.Opening // nil if the relay has not offered the flow
+		openedBy      uint32             // sequence number of the caller's opening, if opening is set
 		running       bool               // a request has had no answer for at most runningTimeout
 		callerDone    bool               // the caller has sent Fin
 		upstreamDone  bool               // the upstream has sent Fin
@@ -210,8 +214,8 @@
 	// ResetByUpstream: the upstream reset a flow.
 	ResetByUpstream Event = "reset-by-upstream"
 	// BouncedWithoutContext: the upstream bounced a packet whose context has
-	// been overwritten or was lost with an earlier process, and the packet was
-	// dropped.
+	// been overwritten or was lost with an earlier process, which used the same tags,
+	// and the packet was dropped.
 	BouncedWithoutContext Event = "returned-without-context"
 	// UpstreamFailing: the upstream was ejected.
 	UpstreamFailing Event = "upstream-failing"
@@ -255,26 +259,43 @@
 }
 
 // HandleFrame handles a frame from an entry or another agent. It returns an
-// error if the frame or the packet in it cannot be decoded.
+// error if the frame or the packet in it cannot be decoded, if it is not a Place, Deliver or
+// Search frame, or if it is sent to none of its candidates: returned to the entry, it would
+// not be a valid frame.
 func (r *Relay) HandleFrame(now time.Duration, datagram []byte) error {
 	var f peer.Frame
 	if err := f.Decode(datagram); err != nil {
 		return err
 	}
+	if f.Kind != peer.Place && f.Kind != peer.Deliver && f.Kind != peer.Search || f.Hop >= len(f.Candidates) {
+		return peer.ErrInvalidFrame
+	}
 	h, err := r.codec.FromCaller(f.Packet)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	handled := false
+	defer func() { r.forgetUnless(handled, now, h.Flow) }()
 	if h.Opens() {
 		r.handleOpening(now, &f, h)
-		return nil
+	} else {
+		r.handleEstablished(now, &f, h)
 	}
-	r.handleEstablished(now, &f, h)
+	handled = true
 	return nil
 }
 
+// forgetUnless removes a flow from the table, and what it adds to the load, unless its packet
+// was handled to the end: a panic may have left its state incomplete. The upstream knows
+// whether it holds the flow.
+func (r *Relay) forgetUnless(handled bool, now time.Duration, flow segment.Flow) {
+	if s := r.flows[flow]; s != nil && !handled {
+		r.remove(now, flow, s)
+	}
+}
+
 // HandleOwnerQuery answers an entry that asks which agent's upstream holds a
 // flow. It replies only if the flow is accepted in the table and the
 // acknowledgement in the query, if any, matches it. It returns an error if the query
