--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -100,7 +100,7 @@
 func TestEvacuationReachesAllProcesses(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newTestSite(t, 101)
+	s := newTestSite(t, 111)
 	s.putConfig(1, vipText)
 	s.startPair()
 	s.keepUpstreamAlive()
@@ -126,7 +126,7 @@
 func TestProcessesThatStartDuringEvacuation(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newTestSite(t, 102)
+	s := newTestSite(t, 112)
 	s.putConfig(1, vipText)
 	s.store.Set(evacuationKey, []byte("{}"))
 	entry, err := fleet.NewEntry(s.settings(1), zap.NewNop())
@@ -151,7 +151,7 @@
 // within a second.
 func TestEvacuationIsReadAgain(t *testing.T) {
 	t.Parallel()
-	s := newTestSite(t, 103)
+	s := newTestSite(t, 113)
 	s.putConfig(1, vipText)
 	s.startPair()
 	s.keepUpstreamAlive()
@@ -189,7 +189,7 @@
 		t.Run(fmt.Sprintf("lost=%t", lost), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s := newTestSite(t, byte(104+n))
+			s := newTestSite(t, byte(114+n))
 			before, after := s.notEvacuated, s.evacuated // of the copy
 			s.putConfig(1, vipText)
 			s.startPair()
--- a/internal/fleet/link_test.go
+++ b/internal/fleet/link_test.go
@@ -18,7 +18,7 @@
 // guards against settings that are not passed on to the decisions.
 func TestEntryWithFullLinkRefusesOpenings(t *testing.T) {
 	is := is.New(t)
-	s := newTestSite(t, 86)
+	s := newTestSite(t, 88)
 	s.putConfig(1, vipText)
 	agent, err := fleet.NewAgent(s.settings(2), zap.NewNop())
 	is.NoErr(err)
