--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -49,7 +49,7 @@
 	s := d.lock(o.Flow)
 	defer s.mu.Unlock()
 	handled := false
-	defer func() { s.forgetUnless(handled, o.Flow) }()
+	defer func() { d.forgetUnless(handled, s, o.Flow) }()
 	d.recordOwner(now, s, from, o)
 	handled = true
 }
@@ -86,7 +86,7 @@
 	s := d.lock(h.Flow)
 	defer s.mu.Unlock()
 	handled := false
-	defer func() { s.forgetUnless(handled, h.Flow) }()
+	defer func() { d.forgetUnless(handled, s, h.Flow) }()
 	if rec := s.flows[h.Flow]; rec != nil && h.Opens() && !rec.openedWith(h) {
 		handled = true // the opening of an earlier flow with the same addresses
 		return
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -62,9 +62,9 @@
 func (m *members) local(a *agent) bool { return a.status.FailureDomain == m.domain }
 
 // accepting returns the agents of a service that accept new flows and are not in an
-// evacuated failure domain. Those whose upstreams fail are excluded unless fewer than half would remain: then it is
-// likelier that the failures have another cause, and the rest could not carry the
-// load.
+// evacuated failure domain. Those whose upstreams fail are excluded unless fewer than half
+// would remain: then it is likelier that the failures have another cause, and the rest
+// could not carry the load.
 func (m *members) accepting(now time.Duration, service peer.ServiceID) []*agent {
 	var out, failing []*agent
 	for _, a := range m.byService[service] {
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -335,7 +335,7 @@
 	s := d.lock(h.Flow)
 	defer s.mu.Unlock()
 	handled := false
-	defer func() { s.forgetUnless(handled, h.Flow) }()
+	defer func() { d.forgetUnless(handled, s, h.Flow) }()
 	r, ok := config.Lookup(h.Flow.VIP())
 	switch {
 	case !ok:
@@ -351,9 +351,9 @@
 
 // forgetUnless removes a flow from the cache unless its packet or message was handled to the
 // end: a panic may have left its record incomplete. A search finds the owner again.
-func (s *shard) forgetUnless(handled bool, flow segment.Flow) {
+func (d *Director) forgetUnless(handled bool, s *shard, flow segment.Flow) {
 	if !handled {
-		delete(s.flows, flow)
+		d.forget(s, flow)
 	}
 }
 
