--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -77,10 +77,10 @@
 	}
 }
 
-// discoverOnce reads the registrations once and sends hello messages to new
-// entries. The first read, and one that completes the flow holders, must not be stale; the
-// first also merges the flow holders and sends hello messages to the registered agents. As the store may have come back from
-// an older copy, it is completed from an entry that was started before.
+// discoverOnce reads the registrations once and sends hello messages to new entries. The
+// first read, and one that completes the flow holders, must not be stale; the first also
+// merges the flow holders and sends hello messages to the registered agents. As the store may
+// have come back from an older copy, it is completed from an entry that was started before.
 func (e *Entry) discoverOnce(ctx context.Context) error {
 	first := !e.discovery.registryRead
 	_, known := e.director.Registered()
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -30,7 +30,7 @@
 	evacuation      evacuationView
 	runningSince    time.Duration // since the last start or pause
 	uninformedUntil time.Duration
-	greeted         map[peer.Addr]int64 // incarnations of the agents that have had a hello message
+	introduced      map[peer.Addr]int64 // incarnations of the agents that have had a hello message
 }
 
 func (w *World) addEntry() *Entry {
@@ -51,7 +51,7 @@
 	e.alive, e.stopping = true, false
 	e.resets = make(map[segment.Flow]bool)
 	e.lastTick, e.startedAt, e.runningSince = w.now(), w.now(), w.now()
-	e.greeted = make(map[peer.Addr]int64)
+	e.introduced = make(map[peer.Addr]int64)
 	e.uninformedUntil = 0
 	stored := w.readStore()
 	e.director = director.New(e.address, w.codec, e, director.WithFailureDomain(e.domain))
@@ -217,8 +217,8 @@
 			return
 		}
 		e.director.HandleReport(e.world.now(), from, st)
-		if e.greeted[from] != st.Incarnation && e.world.sendsHellos() {
-			e.greeted[from] = st.Incarnation
+		if e.introduced[from] != st.Incarnation && e.world.sendsHellos() {
+			e.introduced[from] = st.Incarnation
 			e.sendHello(from)
 		}
 	case peer.Hello:
--- a/internal/fleetsim/evacuation.go
+++ b/internal/fleetsim/evacuation.go
@@ -311,7 +311,7 @@
 	if err := peer.DecodeMessage(datagram, &m); err != nil {
 		return err
 	}
-	i.greeted = true
+	i.introduced = true
 	i.relay.SetColdLimit(m.ColdRates[i.service])
 	if m.Evacuation != nil {
 		i.evacuation.update(i.world.now(), *m.Evacuation)
@@ -356,7 +356,7 @@
 // an evacuation of which it has never heard.
 func (i *Instance) knowsWarmUp() bool {
 	e := &i.world.evacuations
-	return i.greeted && i.heartbeatAt >= i.reachableSince && (i.heartbeatAt >= e.ended[i.domain] || i.evacuatedAt >= e.last[i.domain])
+	return i.introduced && i.heartbeatAt >= i.reachableSince && (i.heartbeatAt >= e.ended[i.domain] || i.evacuatedAt >= e.last[i.domain])
 }
 
 // checkOpening counts a new flow that the upstream must not have been given.
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -22,7 +22,7 @@
 	agentUp     bool
 	unreachable bool // without power, partitioned or disconnected
 	evacuation  evacuationView
-	greeted     bool // the agent has had a hello message
+	introduced  bool // the agent has had a hello message
 	// reachableSince is when the instance was last reachable again, since the start of
 	// the simulation.
 	reachableSince time.Duration
@@ -58,7 +58,7 @@
 	i.generation++
 	generation := i.generation
 	i.agentUp, i.sequence, i.agentStarted = true, 0, w.now()
-	i.evacuation, i.greeted = evacuationView{}, false
+	i.evacuation, i.introduced = evacuationView{}, false
 	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i, relay.WithColdBounds(coldOverage, coldSlack), relay.WithStart(w.now()))
 	if i.upstream == nil {
 		i.relay.MarkEnded(i.world.now())
--- a/pkg/capacity/link.go
+++ b/pkg/capacity/link.go
@@ -175,9 +175,9 @@
 // SetMaxDelay sets the longest time that the link may need for reserved bytes.
 func (l *Link) SetMaxDelay(d time.Duration) { l.maxDelay.Store(int64(d)) }
 
-// Admit decides on an opening of a flow that has not been placed. It refuses one of a route whose flows
-// bring many bytes if the link would need longer than the maximum delay for what is
-// reserved for the open flows and for this one.
+// Admit decides on an opening of a flow that has not been placed. It refuses one of a route
+// whose flows bring many bytes if the link would need longer than the maximum delay for what
+// is reserved for the open flows and for this one.
 func (l *Link) Admit(vip netip.AddrPort) Verdict {
 	r, many := l.route(vip)
 	mean := r.mean.load()
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -170,7 +170,8 @@
 	r.port.ToProcess(entry, r.buf)
 }
 
-// delay lets the opening wait for the upstream, and informs the entry. If too many wait, the frame is forwarded.
+// delay lets the opening wait for the upstream, and informs the entry. If too many wait, the
+// frame is forwarded.
 func (r *Relay) delay(now time.Duration, f *peer.Frame, h segment.Header) {
 	w := &waitingOpening{frame: *f, header: h, since: now}
 	w.frame.Packet, w.frame.Candidates = slices.Clone(f.Packet), slices.Clone(f.Candidates)
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -106,7 +106,8 @@
 
 // SetEvacuated records whether the failure domain of the agent is evacuated: then no
 // opening is offered to the upstream, and those that wait return to their entries. When the
-// evacuation ends, the upstream counts as cold until its next heartbeat. It reports whether the agent should send its status to other processes at once.
+// evacuation ends, the upstream counts as cold until its next heartbeat. It reports whether
+// the agent should send its status to other processes at once.
 func (r *Relay) SetEvacuated(now time.Duration, evacuated bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
