Test of an entry in a new era waits for its metrics

An entry is ready only with a configuration, so that the request itself had failed: the metrics are served by another task, which may start after the entry is ready. The check of the version stays; it is made once the metrics answer.

--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -127,6 +127,8 @@
 	is.NoErr(err)
 	s.start(second)
 	s.eventually("the second entry is ready", func() bool { return s.readyAt(4) })
+	// Its metrics are served by another task, which may start after it is ready.
+	s.eventually("the metrics answer", func() bool { return s.gauge(4, "config-version") != nil })
 	is.Equal(s.gauge(4, "config-version"), 6.0) // from its first packet on
 	s.eventually("the second entry is settled", func() bool { return s.gauge(4, "settled") == true })
 	_, ok := s.store.Get(platform.ConfigKey)
