Evacuations: the simulation uses pkg/evacuation; withdrawals end holds; openings whose copies went elsewhere

With pkg/evacuation two faults showed: a domain that was withdrawn in the new era stayed in force until the hold ended, and with restores in a row for as long as they came; an entry reset an opening that had waited in vain although a later copy had reached another entry and was accepted there. Ruled out for the second: the caller's handling of sequence numbers, as the reset hits an open flow whatever its number. Change: a domain that leaves the set within an era leaves the hold; an entry that has not seen the copies that its caller must have sent does not reset the opening.

--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"hickoryhook.example/pkg/evacuation"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/relay"
 	"hickoryhook.example/pkg/segment"
@@ -21,7 +22,7 @@
 	generation  int // of the agent; timers of an earlier one do nothing
 	agentUp     bool
 	unreachable bool // without power, partitioned or disconnected
-	evacuation  evacuationView
+	evacuation  *evacuation.Tracker
 	introduced  bool // the agent has had a hello message
 	// reachableSince is when the instance was last reachable again, since the start of
 	// the simulation.
@@ -58,7 +59,7 @@
 	i.generation++
 	generation := i.generation
 	i.agentUp, i.sequence, i.agentStarted = true, 0, w.now()
-	i.evacuation, i.introduced = evacuationView{}, false
+	i.evacuation, i.introduced = evacuation.New(), false
 	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i, relay.WithColdBounds(coldOverage, coldSlack), relay.WithStart(w.now()))
 	if i.upstream == nil {
 		i.relay.MarkEnded(i.world.now())
--- a/internal/fleetsim/store_restore.go
+++ b/internal/fleetsim/store_restore.go
@@ -39,6 +39,7 @@
 		copies []storeContent // the newest first
 		lost   *storeContent  // what the store has in place of its newest content, nil if nothing is lost
 		number int            // of restores so far
+		last   time.Duration  // when the last one was, since the start of the simulation
 	}
 )
 
@@ -79,6 +80,7 @@
 	d := &w.restores
 	w.count("store-restores")
 	d.number++
+	d.last = w.now()
 	number := d.number
 	lost := d.copies[d.random.IntN(len(d.copies))]
 	lost.evacuation.Era = uint64(1 + d.number)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -74,6 +74,9 @@
 	// NotAccepted means that a new flow was reset because no agent accepts it, or
 	// because no service of its route has a weight.
 	NotAccepted Event = "no-taker"
+	// NotAcceptedHere means that no agent accepts a new flow, and that it was not reset, as
+	// later copies of its opening went to another entry.
+	NotAcceptedHere Event = "no-taker-here"
 	// Evacuated means that a new flow was reset because the agents of its service that
 	// have reported recently are in evacuated failure domains or accept no flows.
 	Evacuated Event = "upstreams-evacuated"
@@ -212,6 +215,8 @@
 		waitingPlace waitingPlace  // of an opening that was returned
 		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
 		created      time.Duration // when the flow was last placed, else when the record was added
+		openingAt    time.Duration // when the caller sent the opening that was placed
+		copies       uint32        // number of the last copy of that opening
 		link         capacity.Flow // account of the flow's bytes, unused without a Link
 		placed       bool          // openedBy is set
 		openedBy     uint32        // sequence number of the opening that was placed
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -31,6 +31,12 @@
 	patienceShare = 0.25
 	// defaultTimeout is assumed for a route without a timeout.
 	defaultTimeout = time.Second
+	// firstCopyAfter and secondCopyAfter are the times after its first packet at which a
+	// caller sends copies of an opening that has not been answered. copySlack is how much
+	// later a copy may be handled, because it waits in a queue.
+	firstCopyAfter  = 200 * time.Millisecond
+	secondCopyAfter = 600 * time.Millisecond
+	copySlack       = 25 * time.Millisecond
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
@@ -40,7 +46,7 @@
 	rec := s.flows[h.Flow]
 	isCopy := rec != nil && rec.openedWith(h)
 	if isCopy && d.members.usable(now, rec.owner) {
-		rec.lastSeen = now
+		rec.lastSeen, rec.copies = now, max(rec.copies, h.Acknowledged)
 		d.accountOpening(now, rec, h, rec.closed, len(packet)) // the caller uses the port of a closed flow again
 		d.deliver(s, rec, packet)
 		return
@@ -50,10 +56,33 @@
 	}
 	d.placeFlow(now, s, h, r, packet)
 	if placed := s.flows[h.Flow]; placed != nil {
+		if isCopy {
+			placed.copies = max(placed.copies, h.Acknowledged)
+		}
 		d.accountOpening(now, placed, h, !isCopy, len(packet))
 	}
 }
 
+// missesCopies reports whether the caller has sent more copies of the opening than have
+// reached this entry. They go to another entry once the routers have moved the flow, and an
+// upstream may have accepted one there.
+func (r *flowRecord) missesCopies(now time.Duration) bool {
+	waited := now - r.openingAt
+	return r.copies < 1 && waited > firstCopyAfter+copySlack || r.copies < 2 && waited > secondCopyAfter+copySlack
+}
+
+// openingSent returns when the caller sent the first packet of the opening of which h is a
+// copy that has just arrived.
+func openingSent(now time.Duration, h segment.Header) time.Duration {
+	switch h.Acknowledged {
+	case 0:
+		return now
+	case 1:
+		return now - firstCopyAfter
+	}
+	return now - secondCopyAfter
+}
+
 // openedWith reports whether an opening may be that of the recorded flow: callers begin each
 // flow with another sequence number and keep it when they retransmit the opening. The number
 // is not known of flows that this entry has not placed.
@@ -76,7 +105,7 @@
 		d.refuseOpening(now, service, h)
 		return
 	}
-	rec := &flowRecord{owner: list[0], service: service, placed: true, openedBy: h.Sequence, lastSeen: now, created: now}
+	rec := &flowRecord{owner: list[0], service: service, placed: true, openedBy: h.Sequence, lastSeen: now, created: now, openingAt: openingSent(now, h), copies: h.Acknowledged}
 	if old := s.flows[h.Flow]; old != nil {
 		rec.link = old.link
 	}
@@ -86,7 +115,8 @@
 }
 
 // handleReturnedOpening handles an opening that none of its candidates accepted: it is
-// offered in the next stage that has candidates. After the last one the flow is reset. An
+// offered in the next stage that has candidates. After the last one the flow is reset, unless
+// copies of the opening have gone to another entry, see missesCopies. An
 // opening that waited at an agent that stops is placed again. A copy of the opening is dropped
 // if an agent may have accepted another one: see flowRecord.mayBeAccepted. It is also dropped
 // if the flow is not cached, as an earlier process placed it or its caller has been refused:
@@ -117,6 +147,10 @@
 		return
 	}
 	d.forget(s, h.Flow)
+	if rec.missesCopies(now) {
+		d.port.RecordDecision(Decision{Event: NotAcceptedHere, Flow: h.Flow, Tried: len(f.Candidates)})
+		return
+	}
 	d.reset(NotAccepted, h, len(f.Candidates))
 }
 
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -88,8 +88,7 @@
 		received.domains = union(difference(m.Domains, m.Withheld), m.Kept)
 		t.handleEarlierEra(received)
 	case received.isAfter(t.newest):
-		t.newest = received
-		t.withheld = intersection(t.withheld, received.domains)
+		t.handleLater(received)
 	}
 	if m.Era == t.newest.era {
 		t.handleProvisional(m, !t.newest.isAfter(received))
@@ -109,6 +108,16 @@
 	t.known, t.newest, t.since, t.held, t.kept = true, first, now, true, nil
 }
 
+// handleLater takes over a later set of the same era. A domain that has left the set was
+// withdrawn in this era, so that a hold no longer keeps it.
+func (t *Tracker) handleLater(received set) {
+	ended := difference(t.newest.domains, received.domains)
+	t.newest = received
+	t.withheld = intersection(t.withheld, received.domains)
+	t.previous.domains = difference(t.previous.domains, ended)
+	t.kept = difference(t.kept, ended)
+}
+
 // handleEarlierEra takes over a set from before the current era, while what was in force
 // then matters, if it is newer than the known one.
 func (t *Tracker) handleEarlierEra(received set) {
