Soak: each run reserves a loopback network of its own

Cause: two runs of test/ on one machine used the same loopback networks; the processes listen on fixed ports besides the block that the store's port selects, so that they took each other's ports. This is the likely, not the proved, cause of the soak's failed starts. Change: a site binds a port of its network while it runs and takes the next network if that is in use.

--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -31,7 +31,7 @@
 		// Seed is the seed of the upstreams' initial sequence numbers and, in a
 		// soak, of the faults.
 		Seed uint64
-		// Network is the third octet of the loopback addresses.
+		// Network is the first third octet of the loopback addresses to try.
 		Network byte
 		// Callers is the number of flows that are kept open.
 		Callers int
@@ -70,12 +70,12 @@
 
 // Run starts a site, replaces one upstream and then all entries, one after the
 // other, while callers keep their flows open, and returns the callers' results.
-func Run(ctx context.Context, c Config) (Report, error) {
+func Run(ctx context.Context, c Config) (report Report, err error) {
 	s, err := newSite(c.Network, c.Log)
 	if err != nil {
 		return Report{}, err
 	}
-	defer s.server.Close()
+	defer func() { err = errors.Join(err, s.close()) }()
 	r := newRunner(c, s)
 	defer r.cleanUp()
 	if err := r.start(ctx); err != nil {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -18,6 +18,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,10 +41,13 @@
 	probeFailureThreshold = 2
 	// callerHost and storeHost are the last octets of addresses. Entries and
 	// upstreams are numbered from firstEntry and firstUpstream.
-	callerHost    = 250
-	storeHost     = 251
-	firstEntry    = 1
-	firstUpstream = 101
+	callerHost = 250
+	storeHost  = 251
+	// portReservation is the port of storeHost that is bound while a network is in use.
+	portReservation = 9400
+	firstEntry      = 1
+	firstUpstream   = 101
+	maxNetwork      = 254 // the highest third octet
 )
 
 // The roles of the platform's processes: the verbs of `hickoryhook platform`.
@@ -71,10 +75,13 @@
 	// their agents, and the routers' view of the entries.
 	site struct {
 		network byte // third octet of the loopback addresses
-		port    int  // first port of each host
-		store   *kvstandin.Store
-		server  *http.Server
-		log     *zap.Logger
+		// reservation is open while the site uses its network. Processes listen on fixed
+		// ports as well, so that two sites on one network would disturb each other.
+		reservation net.Listener
+		port        int // first port of each host
+		store       *kvstandin.Store
+		server      *http.Server
+		log         *zap.Logger
 
 		// startProcess starts an entry or an agent and returns the function that
 		// stops it.
@@ -116,13 +123,17 @@
 	}
 )
 
-// newSite starts the store with a configuration that routes vip to the service.
+// newSite starts the store with a configuration that routes vip to the service. The site uses
+// the first network from the given one that no other site on this machine uses.
 func newSite(network byte, log *zap.Logger) (*site, error) {
 	s := &site{network: network, store: kvstandin.New(), log: log, requests: requestLog{ran: make(map[requestID]bool)}}
 	s.startProcess = s.runInProcess
+	if err := s.reserveNetwork(); err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp4", s.host(storeHost).String()+":0")
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for the store")
+		return nil, errors.Join(errors.Wrap(err, "listen for the store"), s.reservation.Close())
 	}
 	// The system has chosen a free port for the store. The other processes use a
 	// block of portCount ports just below it, each on its own host.
@@ -143,6 +154,27 @@
 	return s, nil
 }
 
+// reserveNetwork sets the network to the first one from the present one that is not in use.
+func (s *site) reserveNetwork() error {
+	for range maxNetwork {
+		listener, err := net.Listen("tcp4", netip.AddrPortFrom(s.host(storeHost), portReservation).String())
+		if err == nil {
+			s.reservation = listener
+			return nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return errors.Wrap(err, "reserve a loopback network")
+		}
+		s.network = s.network%maxNetwork + 1
+	}
+	return errors.New("reserve a loopback network: all are in use")
+}
+
+// close stops the store and gives the network back.
+func (s *site) close() error {
+	return errors.Join(s.server.Close(), s.reservation.Close())
+}
+
 // host returns the loopback address with the last octet n.
 func (s *site) host(n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, s.network, n}) }
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	defer s.server.Close()
+	defer func() { err = errors.Join(err, s.close()) }()
 	k := &soak{runner: *newRunner(c.Config, s), random: rand.New(rand.NewPCG(c.Seed, 1))}
 	s.startProcess = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
