Entries hold the packets of an agent that restarts, and search past agents that are away

Cause: an agent's planned restart takes 540 to 640 ms from SIGTERM to the first packet of its successor, nearly all of it before the new process starts. Packets that entries send meanwhile are lost, and callers send copies after 200 and 600 ms. Ruled out: the owner's agent, which was back after 0.6 s. Change: an entry keeps the packets for an agent that has announced its restart until the agent reports again, for 1.4 s and 1 MiB at most, each once. Searches visit agents that have announced a restart last, and a repeated search makes a new plan.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -176,14 +176,19 @@
 	if start, known := d.members.upstreamStart(from); restarted && known {
 		d.resetOtherStarts(now, from, start)
 	}
+	if d.members.usable(now, from) {
+		d.deliverHeld(from, d.absences.end(from))
+	}
 	return isNew
 }
 
 // HandleGoodbye records that an agent is about to stop. restarting means that it will
 // be started again while its upstream keeps running. A sender that is not a known agent
-// is ignored.
+// is ignored. Packets for an agent that restarts are held for maxAbsence at most.
 func (d *Director) HandleGoodbye(now time.Duration, from peer.Addr, restarting bool) {
-	d.members.leave(now, from, restarting)
+	if d.members.leave(now, from, restarting) && restarting {
+		d.absences.begin(now, from)
+	}
 }
 
 // resetOtherStarts resets the cached flows that belong to other known starts of the owner's
@@ -215,6 +220,7 @@
 // running.
 func (d *Director) Tick(now, since time.Duration) {
 	d.members.tick(now, since)
+	d.deliverHeld(peer.Addr{}, d.absences.expire(now))
 	idle := defaultIdleTimeout
 	if c := d.config.Load(); c != nil && c.IdleTimeout() > 0 {
 		idle = c.IdleTimeout()
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -141,12 +141,13 @@
 	return rest
 }
 
-// possibleOwners returns those of the agents that may hold flows: the ones without a
-// report for suspectAfter if silent is true, else the ones with a recent report.
+// possibleOwners returns those of the agents that may hold flows: the ones that have
+// announced a restart or have not reported for suspectAfter if silent is true, else the
+// others. A search that visits an agent while it is away ends there.
 func possibleOwners(now time.Duration, agents []*agent, silent bool) []*agent {
 	var out []*agent
 	for _, a := range agents {
-		if !a.status.Empty && (now-a.reportedAt > suspectAfter) == silent {
+		if !a.status.Empty && (a.leaving || now-a.reportedAt > suspectAfter) == silent {
 			out = append(out, a)
 		}
 	}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -100,6 +100,9 @@
 	// UpstreamGone means that a flow was reset because the upstream that held it
 	// has restarted or ended.
 	UpstreamGone Event = "upstream-gone"
+	// HeldDelivered means that packets were sent that had been held for an agent while it
+	// restarted, or until maxAbsence had passed.
+	HeldDelivered Event = "held-packets-delivered"
 	// LinkFull means that an opening that this entry has not offered to any agent was reset,
 	// because the entry's link cannot carry the flow in time, see Link.
 	LinkFull Event = "link-full"
@@ -166,7 +169,8 @@
 		// Stage is the stage of an opening that was placed again.
 		Stage int
 		// Tried is the number of candidates on the list that was returned without
-		// one accepting the flow. For SearchedAll it is the number of agents queried.
+		// one accepting the flow. For SearchedAll it is the number of agents queried, for
+		// HeldDelivered the number of packets, the first of which is of Flow.
 		Tried int
 		// Link is what LinkFull was based on.
 		Link capacity.Verdict
@@ -184,6 +188,7 @@
 		verified   atomic.Int64 // time of the last verification against the store, in ns; 0 if none
 		members    *members
 		history    history
+		absences   absences
 		queryLimit tokenBucket
 		shards     [shardCount]shard
 	}
@@ -389,7 +394,8 @@
 // handleEstablished handles a packet that does not open a flow. It sends the packet
 // to the flow's owner. If the owner is unknown, it starts a search. During a search,
 // it sends the packet to the first stage, and after searchRetryAfter it repeats the
-// search, see queryAll. After an inconclusive search it starts another one.
+// search, see queryAll. After an inconclusive search it starts another one. A packet for an
+// owner that restarts is held until the owner is back.
 func (d *Director) handleEstablished(now time.Duration, s *shard, h segment.Header, packet []byte) {
 	rec := s.flows[h.Flow]
 	isNew := rec == nil
@@ -410,7 +416,9 @@
 		rec.closed = true
 	}
 	if !isNew && !rec.searching {
-		d.deliver(s, rec, packet)
+		if !d.absences.hold(rec.owner, h, packet) {
+			d.deliver(s, rec, packet)
+		}
 		return
 	}
 	if isNew || rec.inconclusive {
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -158,13 +158,13 @@
 }
 
 // leave records that a known agent stops, and removes it unless it will be started
-// again.
-func (m *members) leave(now time.Duration, from peer.Addr, restarting bool) {
+// again. It returns false if the agent is not known.
+func (m *members) leave(now time.Duration, from peer.Addr, restarting bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a, ok := m.agents[from]
 	if !ok {
-		return
+		return false
 	}
 	a.leaving = true
 	if !restarting {
@@ -172,6 +172,7 @@
 		delete(m.agents, from)
 		m.rebuildByService()
 	}
+	return true
 }
 
 // rebuildByService rebuilds the lists of agents by service, ordered by address.
--- a/pkg/director/opening_test.go
+++ b/pkg/director/opening_test.go
@@ -14,8 +14,8 @@
 	"hickoryhook.example/platform"
 )
 
-// framePort records the frames that a director sends, and counts the packets to callers,
-// all of which are resets.
+// framePort records the frames that a director sends, without owner queries, and counts the
+// packets to callers, all of which are resets.
 type framePort struct {
 	recordingPort
 	frames []peer.Frame
@@ -23,6 +23,9 @@
 }
 
 func (p *framePort) ToProcess(_ peer.Addr, datagram []byte) {
+	if kind, err := peer.KindOf(datagram); err == nil && kind == peer.OwnerQuery {
+		return
+	}
 	var f peer.Frame
 	if err := f.Decode(append([]byte(nil), datagram...)); err != nil {
 		panic(err)
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -68,13 +68,16 @@
 
 // queryAll repeats a search that has not found the owner in time. It sends an owner
 // query to all agents that may own the flow at once, unless the rate limit forbids
-// it, and sends the packet through the stages of the search again.
+// it, and sends the packet through the stages of a new plan: an agent of the last one may
+// have stopped meanwhile, so that the packet was lost there, and another may have returned.
 func (d *Director) queryAll(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.searchedAt = now
+	rec.stages = d.planSearch(now, h.Flow)
+	rec.round++
 	if d.queryLimit.allow(now) {
 		tried := 0
 		s.buf = peer.OwnerMessage{Kind: peer.OwnerQuery, Flow: h.Flow, Acknowledged: rec.acknowledged}.Append(s.buf[:0])
-		for _, stage := range d.planSearch(now, h.Flow) {
+		for _, stage := range rec.stages {
 			for _, a := range stage.agents {
 				d.port.ToProcess(a, s.buf)
 				tried++
