--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -120,7 +120,7 @@
 	if e.settings.ControlAddress.IsValid() {
 		tasks = append(tasks, e.httpTask(e.settings.ControlAddress, readyHandler(e.ready)))
 	}
-	e.log.Info("entry started") // before any line of the tasks: it marks where the lines of this process begin
+	e.log.Info("entry started", zap.String("build", daemon.Revision())) // before any line of the tasks: it marks where the lines of this process begin
 	ends := e.startTasks(taskCtx, tasks)
 	e.sendHello()
 	var failure error
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -339,6 +339,7 @@
 		}
 		server.Set("counts", p.metrics.countsSnapshot)
 		server.Set("latencies", p.metrics.latenciesSnapshot)
+		server.Set("build", func() any { return daemon.Revision() })
 		server.Set("uptime-ms", func() any { return p.now().Milliseconds() })
 		for name, f := range gauges {
 			server.Set(name, f)
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -56,6 +57,7 @@
 
 	// Vars are the metrics of an entry that the overview uses.
 	Vars struct {
+		Build         string                 `json:"build"` // "" of a build that does not tell
 		Ready         bool                   `json:"ready"`
 		Settled       bool                   `json:"settled"`
 		ConfigVersion uint64                 `json:"config-version"`
@@ -212,16 +214,35 @@
 	return out
 }
 
+// builds returns a text for each build of the entries that answered: how many run it. Fleets
+// have two while they are upgraded.
+func (o Overview) builds() []string {
+	counts := make(map[string]int)
+	for _, e := range o.Entries {
+		if e.Err == nil {
+			counts[cmp.Or(e.Vars.Build, "older")]++
+		}
+	}
+	var out []string
+	for _, build := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%d of %s", counts[build], build))
+	}
+	return out
+}
+
 // Write writes the problems and tables of the entries and agents as text.
 func (o Overview) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, p := range o.Problems() {
 		fmt.Fprintln(t, p)
 	}
-	fmt.Fprintf(t, "\nentry\tready\tsettled\tconfiguration\tevacuated\tflows\tup\tcalls to the store\tlog lines left out\n")
+	if builds := o.builds(); len(builds) > 1 {
+		fmt.Fprintf(t, "entries of %d builds: %s\n", len(builds), strings.Join(builds, ", "))
+	}
+	fmt.Fprintf(t, "\nentry\tbuild\tready\tsettled\tconfiguration\tevacuated\tflows\tup\tcalls to the store\tlog lines left out\n")
 	for _, e := range o.Entries {
 		if e.Err == nil {
-			fmt.Fprintf(t, "%s\t%t\t%t\t%d\t%s\t%d\t%s\t%d\t%d\n", e.Address, e.Vars.Ready, e.Vars.Settled, e.Vars.ConfigVersion, e.Vars.Evacuation, e.Vars.Flows,
+			fmt.Fprintf(t, "%s\t%s\t%t\t%t\t%d\t%s\t%d\t%s\t%d\t%d\n", e.Address, cmp.Or(e.Vars.Build, "older"), e.Vars.Ready, e.Vars.Settled, e.Vars.ConfigVersion, e.Vars.Evacuation, e.Vars.Flows,
 				time.Duration(e.Vars.UptimeMS)*time.Millisecond, e.Vars.storeCalls(), e.Vars.LeftOut)
 		}
 	}
--- a/internal/overview/overview_test.go
+++ b/internal/overview/overview_test.go
@@ -26,7 +26,7 @@
 }
 
 // TestProblemsAndTables covers two entries that differ in readiness, configuration, evacuated
-// failure domains and known agents, and a third one that does not answer.
+// failure domains, builds and known agents, and a third one that does not answer.
 func TestProblemsAndTables(t *testing.T) {
 	is := is.New(t)
 	stopped := httptest.NewServer(nil)
@@ -45,7 +45,8 @@
 	is.Equal(problems[4], "10.1.0.42 is known to 1 of 2 entries")
 	is.Equal(problems[5], "10.2.0.43: its upstream resets its flows")
 	text := strings.Join(strings.Fields(out.String()), " ")
-	is.True(strings.Contains(text, first+" true true 25 graz-nord at 2/140 170 1m1.5s 43 12"))
+	is.True(strings.Contains(text, "entries of 2 builds: 1 of 0123456789ab, 1 of older"))
+	is.True(strings.Contains(text, first+" 0123456789ab true true 25 graz-nord at 2/140 170 1m1.5s 43 12"))
 	is.True(strings.Contains(text, "link of Mbit/s in use reserved at most refused openings "+first+" 10.0 80% 50 ms 100 ms 7 service")) // the second has no link rate
 	is.True(strings.Contains(text, "maklerlink 10.2.0.43 i-2 graz-sued true 75 3 2 20ms"))                                               // from the newer of two reports
 }
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -71,6 +71,7 @@
 		checkSettingsVerb(),
 		explainVerb(),
 		statusVerb(),
+		versionVerb(),
 	}
 }
 
