--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -82,6 +82,7 @@
 	if b, err := peer.Encode(peer.Report, status); err == nil {
 		f.Add(b)
 	}
+	addMessagesOfBuilds(f)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var frame peer.Frame
 		if frame.Decode(b) == nil && (frame.Hop > len(frame.Candidates) || frame.Best > len(frame.Candidates)) {
@@ -96,6 +97,15 @@
 	})
 }
 
+// addMessagesOfBuilds adds the messages of older builds to a corpus.
+func addMessagesOfBuilds(f *testing.F) {
+	for _, messages := range messagesOfBuilds(f) {
+		for _, b := range messages {
+			f.Add(b)
+		}
+	}
+}
+
 // FuzzDecodeMessage checks that no datagram makes the decoder of a message panic, and that
 // what is decoded can be encoded again, as entries pass on what they learn.
 func FuzzDecodeMessage(f *testing.F) {
@@ -112,6 +122,7 @@
 		}
 		f.Add(b)
 	}
+	addMessagesOfBuilds(f)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		for _, out := range []any{new(peer.Status), new(peer.HelloMessage), new(peer.GoodbyeMessage), new(peer.Evacuation)} {
 			if peer.DecodeMessage(b, out) != nil {
