--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -357,7 +357,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+registrationsPath, c.serveRegistrations)
 	mux.HandleFunc("GET "+flowsPath, c.serveFlows)
+	mux.HandleFunc("GET "+flowsPartPath, c.serveFlows)
 	mux.HandleFunc("PUT "+flowsPath, collector.serve)
+	mux.HandleFunc("PUT "+flowsPartPath, collector.serve)
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		raw := c.raw
--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -63,12 +63,12 @@
 
 	// flowBatch holds the flows that are written together.
 	flowBatch struct {
-		begun   time.Time            // when the first flows were added
-		values  map[peer.Addr][]byte // encoded flows by entry
-		size    int                  // bytes of flows that were added
-		written chan struct{}        // closed after the write
-		era     uint64               // of the store, before the write
-		err     error                // of the write
+		begun   time.Time         // when the first flows were added
+		values  map[string][]byte // encoded flows by key, see flowsKey
+		size    int               // bytes of flows that were added
+		written chan struct{}     // closed after the write
+		era     uint64            // of the store, before the write
+		err     error             // of the write
 	}
 )
 
@@ -76,11 +76,11 @@
 	return &flowCollector{process: p, started: make(chan struct{}, 1)}
 }
 
-// add adds the flows of an entry to the next write and waits for its result. It returns the
-// era of the store in which they were written at the latest, and errBatchFull if the flows do
-// not fit into that write.
-func (c *flowCollector) add(ctx context.Context, entry peer.Addr, value []byte) (era uint64, err error) {
-	b, err := c.join(entry, value)
+// add adds the flows of an entry, which are kept under a key, to the next write and waits for
+// its result. It returns the era of the store in which they were written at the latest, and
+// errBatchFull if the flows do not fit into that write.
+func (c *flowCollector) add(ctx context.Context, key string, value []byte) (era uint64, err error) {
+	b, err := c.join(key, value)
 	if err != nil {
 		return 0, err
 	}
@@ -93,11 +93,11 @@
 }
 
 // join adds the flows of an entry to the present batch, or to a new one if there is none.
-func (c *flowCollector) join(entry peer.Addr, value []byte) (*flowBatch, error) {
+func (c *flowCollector) join(key string, value []byte) (*flowBatch, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.batch == nil {
-		c.batch = &flowBatch{begun: time.Now(), values: make(map[peer.Addr][]byte), written: make(chan struct{})}
+		c.batch = &flowBatch{begun: time.Now(), values: make(map[string][]byte), written: make(chan struct{})}
 		c.started <- struct{}{}
 	}
 	b := c.batch
@@ -105,7 +105,7 @@
 		return nil, errBatchFull
 	}
 	b.size += len(value)
-	b.values[entry] = value
+	b.values[key] = value
 	return b, nil
 }
 
@@ -133,7 +133,7 @@
 }
 
 // write writes the flows of entries to the store, maxTxnWrites in each transaction.
-func (c *flowCollector) write(ctx context.Context, values map[peer.Addr][]byte) error {
+func (c *flowCollector) write(ctx context.Context, values map[string][]byte) error {
 	var txn platform.Txn
 	commit := func() error {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -143,8 +143,8 @@
 		txn.Writes = nil
 		return err
 	}
-	for entry, value := range values {
-		txn.Writes = append(txn.Writes, platform.Write{Key: flowsPrefix + entry.String(), Value: value})
+	for key, value := range values {
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
 		if len(txn.Writes) == maxTxnWrites {
 			if err := commit(); err != nil {
 				return err
@@ -160,9 +160,9 @@
 // serve takes the flows of another entry. It responds after the write, with the era of the
 // store as the body, or with 503 if the write has failed.
 func (c *flowCollector) serve(w http.ResponseWriter, req *http.Request) {
-	address, err := netip.ParseAddr(req.PathValue("entry"))
-	if err != nil || !address.Is4() {
-		http.Error(w, "not the IPv4 address of an entry", http.StatusBadRequest)
+	key, err := requestedFlowsKey(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	value, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxSavedFlowsBytes))
@@ -170,7 +170,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	era, err := c.add(req.Context(), peer.NewAddr(address), value)
+	era, err := c.add(req.Context(), key, value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -191,31 +191,31 @@
 // may use different collectors for a while.
 func collectorTermAt(t time.Time) uint64 { return uint64(t.Unix() / int64(collectorTerm.Seconds())) }
 
-// storeFlows writes the encoded flows of this entry to the store through the collector of
+// storeFlows writes a part of the encoded flows of this entry to the store through the collector of
 // its failure domain, and by itself if it does not reach that one. It returns the era of the
 // store in which they were written at the latest, and errStoreUnavailable if the store does
 // not answer the collector.
-func (e *Entry) storeFlows(ctx context.Context, value []byte, term uint64, attempt int) (era uint64, err error) {
+func (e *Entry) storeFlows(ctx context.Context, part string, value []byte, term uint64, attempt int) (era uint64, err error) {
 	candidates := append(e.entries.aliveIn(e.now(), e.settings.FailureDomain), e.self)
 	collector := chooseCollector(candidates, term, attempt)
 	if collector == e.self {
-		return e.flowCollector.add(ctx, e.self, value)
+		return e.flowCollector.add(ctx, flowsKey(e.self, part), value)
 	}
 	putCtx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
-	if era, err = e.putFlows(putCtx, collector, value); err == nil || errors.Is(err, errStoreUnavailable) {
+	if era, err = e.putFlows(putCtx, collector, part, value); err == nil || errors.Is(err, errStoreUnavailable) {
 		return era, err
 	}
 	e.log.Info("flows not taken by collector, writing them directly", zap.Stringer("entry", collector), daemon.Err(err))
-	return e.flowCollector.add(ctx, e.self, value)
+	return e.flowCollector.add(ctx, flowsKey(e.self, part), value)
 }
 
-// putFlows sends the encoded flows of this entry to a collector and returns the era of the
+// putFlows sends a part of the encoded flows of this entry to a collector and returns the era of the
 // store that it names. It returns errStoreUnavailable for status 503, and another error for
 // any other status but 200.
-func (e *Entry) putFlows(ctx context.Context, collector peer.Addr, value []byte) (era uint64, err error) {
+func (e *Entry) putFlows(ctx context.Context, collector peer.Addr, part string, value []byte) (era uint64, err error) {
 	address := netip.AddrPortFrom(collector.Addr(), e.settings.PeerPort+1)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address.String()+"/flows/"+e.self.String(), bytes.NewReader(value))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address.String()+flowsPathOf(e.self, part), bytes.NewReader(value))
 	if err != nil {
 		return 0, errors.Wrap(err, "put flows")
 	}
--- a/internal/fleet/flow_collector_test.go
+++ b/internal/fleet/flow_collector_test.go
@@ -92,7 +92,7 @@
 			results := make(chan error, len(entries))
 			for _, e := range entries {
 				go func() {
-					_, err := collector.add(ctx, e, []byte("flows of "+e.String()))
+					_, err := collector.add(ctx, flowsKey(e, wholePart), []byte("flows of "+e.String()))
 					results <- err
 				}()
 			}
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -19,6 +19,7 @@
 const (
 	registrationsPath = "/registrations"
 	flowsPath         = "/flows/{entry}"
+	flowsPartPath     = "/flows/{entry}/{part}"
 	// maxEntriesAsked bounds how many entries one attempt asks, one after the
 	// other, for data that the store does not return. Most entries have it.
 	maxEntriesAsked = 4
@@ -61,12 +62,12 @@
 // serveFlows reads the saved flows of another entry from the store on its
 // behalf.
 func (c *configSync) serveFlows(w http.ResponseWriter, req *http.Request) {
-	address, err := netip.ParseAddr(req.PathValue("entry"))
-	if err != nil || !address.Is4() {
-		http.Error(w, "not the IPv4 address of an entry", http.StatusBadRequest)
+	key, err := requestedFlowsKey(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	value, err := c.readFlows(req.Context(), peer.NewAddr(address))
+	value, err := c.readFlows(req.Context(), key)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
@@ -79,15 +80,36 @@
 	}
 }
 
+// requestedFlowsKey returns the store's key of the flows that a request is about.
+func requestedFlowsKey(req *http.Request) (string, error) {
+	address, err := netip.ParseAddr(req.PathValue("entry"))
+	if err != nil || !address.Is4() {
+		return "", errors.New("not the IPv4 address of an entry")
+	}
+	part := req.PathValue("part")
+	if part != wholePart && part != addedPart {
+		return "", errors.Errorf("unknown part %q of the flows", part)
+	}
+	return flowsKey(peer.NewAddr(address), part), nil
+}
+
+// flowsPathOf returns the path of requests about a part of the flows of an entry.
+func flowsPathOf(entry peer.Addr, part string) string {
+	if part == wholePart {
+		return "/flows/" + entry.String()
+	}
+	return "/flows/" + entry.String() + "/" + part
+}
+
 // fetchOwnFlows asks up to maxEntriesAsked other entries in turn to read the saved
 // flows of this entry from the store, until one returns them. It returns
 // platform.ErrNotFound if the store has none, and another error if no entry is
 // alive or none of those asked answers.
-func (e *Entry) fetchOwnFlows() ([]byte, error) {
+func (e *Entry) fetchOwnFlows(part string) ([]byte, error) {
 	err := errors.New("fetch from entry: no entry is alive")
 	for _, a := range e.entriesToAsk() {
 		var value []byte
-		if value, err = e.getFromEntry(a, "/flows/"+e.self.String()); err == nil || errors.Is(err, platform.ErrNotFound) {
+		if value, err = e.getFromEntry(a, flowsPathOf(e.self, part)); err == nil || errors.Is(err, platform.ErrNotFound) {
 			return value, err
 		}
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -113,6 +113,7 @@
 		incarnation int64
 		domain      string // failure domain
 		ready       bool
+		settled     bool          // see peer.HelloMessage.Settled
 		readySince  time.Duration // when ready last became true; 0 if it never did
 	}
 
@@ -409,7 +410,7 @@
 		e.readySince = now
 	}
 	e.lastHello, e.active, e.stopped, e.incarnation = now, true, false, hello.Incarnation
-	e.domain, e.ready = hello.FailureDomain, hello.Ready
+	e.domain, e.ready, e.settled = hello.FailureDomain, hello.Ready, hello.Settled
 	return isNew
 }
 
@@ -457,6 +458,17 @@
 	return out
 }
 
+// hasSettledBelow reports whether a live entry with a lower address than self is settled.
+func (s *entrySet) hasSettledBelow(now time.Duration, self peer.Addr) bool {
+	alive := s.alive(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(alive, func(a peer.Addr) bool {
+		e, ok := s.byAddr[a]
+		return ok && e.settled && slices.Compare(a[:], self[:]) < 0
+	})
+}
+
 // aliveIn returns the live entries of a failure domain, in order of address.
 func (s *entrySet) aliveIn(now time.Duration, domain string) []peer.Addr {
 	alive := s.alive(now)
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -190,10 +190,10 @@
 	c := newFlowCollector(&process{})
 	value := make([]byte, maxSavedFlowsBytes)
 	for i := range maxBatchBytes / maxSavedFlowsBytes {
-		_, err := c.join(peer.Addr{10, 0, 0, byte(i)}, value)
+		_, err := c.join(flowsKey(peer.Addr{10, 0, 0, byte(i)}, wholePart), value)
 		is.NoErr(err)
 	}
-	_, err := c.join(peer.Addr{10, 0, 1, 1}, value)
+	_, err := c.join(flowsKey(peer.Addr{10, 0, 1, 1}, wholePart), value)
 	is.True(errors.Is(err, errBatchFull))
 }
 
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -40,14 +40,22 @@
 	// flowsPrefix is separate from storePrefix, under which all processes read
 	// the registrations.
 	flowsPrefix = "hickoryhook-flows/"
+
+	// The parts of an entry's saved flows. The whole is written as often as its size allows,
+	// the added ones in between: they are few.
+	wholePart = ""
+	addedPart = "added"
 )
 
 // savedFlows is what an entry knows of its flows in the store.
 type savedFlows struct {
-	flows    []director.FlowSnapshot
-	era      uint64 // of the store, in which they were written at the latest
-	term     uint64 // of the collector that was tried last
-	failures int    // in that term
+	flows    []director.FlowSnapshot // the whole
+	added    []director.FlowSnapshot // see director.AddedFlows, nil if none were written since the whole
+	era      uint64                  // of the store, in which they were written at the latest
+	wholeAt  time.Duration           // when the whole was last written
+	bytes    int                     // written since then, with the whole
+	term     uint64                  // of the collector that was tried last
+	failures int                     // in that term
 }
 
 // flowGroup holds the saved flows of one VIP and service at one start of an
@@ -72,40 +80,59 @@
 	var saved savedFlows
 	for ctx.Err() == nil {
 		begin, era := e.now(), e.eras.era()
-		size := e.saveChangedFlows(ctx, &saved)
-		pause := flowsPause(size, e.entries.domainCount(begin, e.settings.FailureDomain), e.settings.StoreWritesPerSecond)
-		e.sleepInEra(ctx, era, pause-(e.now()-begin))
+		pause := func(size int) time.Duration {
+			return flowsPause(size, e.entries.domainCount(begin, e.settings.FailureDomain), e.settings.StoreWritesPerSecond)
+		}
+		if saved.era < e.store.Era() {
+			saved.flows, saved.added, saved.bytes = nil, nil, 0 // the store may have lost them
+		}
+		e.saveChangedFlows(ctx, &saved, saved.bytes == 0 || begin-saved.wholeAt >= pause(saved.bytes))
+		e.sleepInEra(ctx, era, pause(0)-(e.now()-begin))
 	}
 	return nil
 }
 
-// saveChangedFlows writes the entry's flows to the store if they differ from the saved ones
-// or if the store may have lost these. It returns the size of what it tried to write.
-func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows) (size int) {
-	if saved.era < e.store.Era() {
-		saved.flows = nil
+// saveChangedFlows writes the entry's flows to the store if they differ from the saved ones.
+// Unless wholeDue is true, it writes those that have been added since the whole was written.
+func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows, wholeDue bool) {
+	now := e.now()
+	flows := e.director.SnapshotFlows(now, maxSavedFlows)
+	if wholeDue && director.SnapshotOutdated(saved.flows, flows) {
+		if e.saveFlowsPart(ctx, saved, wholePart, flows) {
+			saved.flows, saved.added, saved.wholeAt = flows, nil, now
+		}
+		return
 	}
-	flows := e.director.SnapshotFlows(e.now(), maxSavedFlows)
-	if !director.SnapshotOutdated(saved.flows, flows) {
-		return 0
+	added := director.AddedFlows(saved.flows, flows)
+	if len(director.AddedFlows(saved.added, added)) > 0 && e.saveFlowsPart(ctx, saved, addedPart, added) {
+		saved.added = added
 	}
+}
+
+// saveFlowsPart writes a part of the entry's flows to the store and reports whether it is
+// written.
+func (e *Entry) saveFlowsPart(ctx context.Context, saved *savedFlows, part string, flows []director.FlowSnapshot) bool {
 	value, err := encodeFlows(flows)
 	if err != nil {
 		e.log.Error("flows not saved", daemon.Err(err))
-		return 0
+		return false
 	}
 	term := collectorTermAt(time.Now())
 	if term != saved.term {
 		saved.term, saved.failures = term, 0
 	}
-	era, err := e.storeFlows(ctx, value, term, saved.failures)
+	if part == wholePart {
+		saved.bytes = 0
+	}
+	saved.bytes += len(value) + putOverhead
+	era, err := e.storeFlows(ctx, part, value, term, saved.failures)
 	if err != nil {
 		e.metrics.increment("store-errors")
 		saved.failures++
-		return len(value)
+		return false
 	}
-	saved.flows, saved.era = flows, era
-	return len(value)
+	saved.era = era
+	return true
 }
 
 // flowsPause returns the time from a write of saved flows of a size in bytes to the next, in a
@@ -123,10 +150,21 @@
 // director. It retries until the store or another entry returns them or reports
 // that there are none. It returns an error if they cannot be decoded.
 func (e *Entry) restoreFlows(ctx context.Context) error {
+	for _, part := range []string{wholePart, addedPart} {
+		if err := e.restoreFlowsPart(ctx, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restoreFlowsPart is restoreFlows for one part. A flow that is in a part of before the
+// whole, and has ended since, is not reset unless its upstream has ended, too.
+func (e *Entry) restoreFlowsPart(ctx context.Context, part string) error {
 	for ctx.Err() == nil {
-		value, err := e.readFlows(ctx, e.self)
+		value, err := e.readFlows(ctx, flowsKey(e.self, part))
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
-			value, err = e.fetchOwnFlows()
+			value, err = e.fetchOwnFlows(part)
 		}
 		if errors.Is(err, platform.ErrNotFound) {
 			return nil
@@ -140,19 +178,27 @@
 			return err
 		}
 		e.director.RestoreFlows(e.now(), flows)
-		e.log.Info("flows recalled", zap.Int("flows", len(flows)))
+		e.log.Info("flows recalled", zap.String("part", part), zap.Int("flows", len(flows)))
 		return nil
 	}
 	return nil
 }
 
-// readFlows reads the saved flows of an entry from the store. It returns
+// flowsKey returns the store's key of a part of an entry's saved flows.
+func flowsKey(entry peer.Addr, part string) string {
+	if part == wholePart {
+		return flowsPrefix + entry.String()
+	}
+	return flowsPrefix + entry.String() + "/" + part
+}
+
+// readFlows reads the saved flows under a key from the store. It returns
 // platform.ErrNotFound if there are none.
-func (p *process) readFlows(ctx context.Context, entry peer.Addr) ([]byte, error) {
+func (p *process) readFlows(ctx context.Context, key string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p.metrics.increment("store-reads")
-	item, _, err := p.store.Get(ctx, flowsPrefix+entry.String())
+	item, _, err := p.store.Get(ctx, key)
 	return item.Value, err
 }
 
--- a/internal/fleet/stopping_test.go
+++ b/internal/fleet/stopping_test.go
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	p, standIn := newTestProcess(t, func(store http.Handler) http.Handler { return store })
 	c, entry := newFlowCollector(p), peer.Addr{10, 0, 0, 3}
-	c.batch = &flowBatch{begun: time.Now().Add(-time.Minute), values: map[peer.Addr][]byte{entry: []byte("old")}, written: make(chan struct{})}
+	c.batch = &flowBatch{begun: time.Now().Add(-time.Minute), values: map[string][]byte{flowsKey(entry, wholePart): []byte("old")}, written: make(chan struct{})}
 	batch := c.batch
 	c.started <- struct{}{}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -18,6 +18,7 @@
 	Service      peer.ServiceID
 	Start        uint32 // of the owner's upstream, see peer.StartID
 	Acknowledged uint32 // last acknowledgement number of the caller
+	Repeatable   bool   // its requests may be repeated; false if unknown
 }
 
 const (
@@ -69,6 +70,7 @@
 			}
 			all = append(all, ranked{FlowSnapshot{
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.startID, Acknowledged: rec.acknowledged,
+				Repeatable: r.Idempotent,
 			}, rec.lastSeen, class})
 		}
 	})
@@ -101,6 +103,28 @@
 	return changed*changedShare > len(flows)
 }
 
+// AddedFlows returns those of flows, a result of SnapshotFlows, that are missing from the
+// written ones and whose requests must not be repeated. A caller learns that such a flow is
+// gone in time only if the flow was saved; others lose a try.
+func AddedFlows(written, flows []FlowSnapshot) []FlowSnapshot {
+	type start struct {
+		flow  segment.Flow
+		owner peer.Addr
+		start uint32
+	}
+	old := make(map[start]bool, len(written))
+	for _, r := range written {
+		old[start{r.Flow, r.Owner, r.Start}] = true
+	}
+	var out []FlowSnapshot
+	for _, r := range flows {
+		if !r.Repeatable && !old[start{r.Flow, r.Owner, r.Start}] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // RestoreFlows adds flows that an earlier process stored to the cache, except those
 // that it holds already. A flow is reset, see resetOtherStarts, as soon as its agent has
 // reported another start of its upstream, or no known start and no running upstream.
--- a/pkg/director/snapshot_test.go
+++ b/pkg/director/snapshot_test.go
@@ -77,3 +77,19 @@
 	is.Equal(saved[0].Flow, paused)
 	is.Equal(d.SnapshotFlows(9*time.Second, 2)[1].Flow, feed)
 }
+
+// TestAddedFlows covers callers whose flows opened just before a loss of all power: those whose
+// requests must not be repeated are saved between two whole snapshots, so that their callers
+// are reset before they use them. A flow that moved to another start counts as added.
+func TestAddedFlows(t *testing.T) {
+	is := is.New(t)
+	at := func(port uint16, start uint32, repeatable bool) director.FlowSnapshot {
+		return director.FlowSnapshot{Flow: segment.NewFlow(netipPort(vipAt(1), port), vipAt(2)), Owner: peer.Addr{10, 0, 1, 1}, Start: start, Repeatable: repeatable}
+	}
+	written := []director.FlowSnapshot{at(1, 5, false), at(2, 5, false)}
+	acknowledged := at(1, 5, false)
+	acknowledged.Acknowledged = 9 // does not make the flow another one
+	added := director.AddedFlows(written, []director.FlowSnapshot{acknowledged, at(2, 6, false), at(3, 5, false), at(4, 5, true)})
+	is.Equal(added, []director.FlowSnapshot{at(2, 6, false), at(3, 5, false)})
+	is.Equal(len(director.AddedFlows(added, added)), 0)
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -66,6 +66,9 @@
 		FailureDomain string `cbor:"6,keyasint,omitempty"`
 		// Ready means that the entry is ready for callers.
 		Ready bool `cbor:"7,keyasint,omitempty"`
+		// Settled means that the entry knows all running agents. It is false in messages of
+		// builds that do not send it.
+		Settled bool `cbor:"12,keyasint,omitempty"`
 		// StoreEra is the era of the newest response of the platform's store to the
 		// sender, 0 if unknown.
 		StoreEra uint64 `cbor:"9,keyasint,omitempty"`
