Agents eject an upstream that answers without doing the work

Ruled out: the health check, which lies, and resets, of which there are none. Ways: answers are not read (they belong to the two ends), so that only their time can tell. As it stands, resets alone count. Built: an agent compares each answer with the usual time of its route. Change: an answer that came four times sooner than usual counts as a failure after ten such in a row; the ejection with its trial is the one of resets. Left are bookings on flows that were open at these upstreams: a reset of an open flow is not allowed, and they cannot move.

--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -34,20 +34,20 @@
 func (r *Relay) handleAnswer(now time.Duration, h segment.Header, packet []byte) (ejected bool) {
 	s := r.flows[h.Flow]
 	inUse := s != nil && s.phase != closed && !s.callerDone && !s.upstreamDone
-	r.recordUpstreamPacket(now, h)
+	failed := r.recordUpstreamPacket(now, h)
 	r.port.ToCaller(h.Flow, packet)
 	r.serveWaiting(now)
 	if !h.Has(segment.Reset) {
-		return false
+		return failed && r.recordFailure(now, h.Flow)
 	}
 	r.port.RecordDecision(ResetByUpstream, h.Flow, nil)
-	return inUse && r.recordReset(now, h.Flow)
+	return inUse && r.recordFailure(now, h.Flow)
 }
 
-// recordReset counts an upstream's reset of a flow in use as a failure, and
-// reports whether the upstream is ejected for it. The other flows of an ejected
+// recordFailure counts an upstream's reset of a flow in use, or an answer that came without
+// work, as a failure, and reports whether the upstream is ejected for it. The other flows of an ejected
 // upstream stay open, as it may still serve their next requests.
-func (r *Relay) recordReset(now time.Duration, flow segment.Flow) bool {
+func (r *Relay) recordFailure(now time.Duration, flow segment.Flow) bool {
 	newlyEjected := r.detector.recordFailure(now)
 	if newlyEjected {
 		r.port.RecordDecision(UpstreamFailing, flow, nil)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -141,6 +141,7 @@
 		load            admission.Load // of the upstream
 		waiting         *admission.Queue[*waitingOpening]
 		detector        outlierDetector
+		answerTimes     answerTimes
 		cold            coldState
 		lifetime        time.Duration // idle time after which an accepted flow is removed
 	}
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -39,12 +39,13 @@
 
 // recordUpstreamPacket updates the state of a flow from a packet of its
 // upstream. The first packet of an offered flow accepts it. A packet of an unknown
-// flow adds it to the table as accepted, unless the packet resets it.
-func (r *Relay) recordUpstreamPacket(now time.Duration, h segment.Header) {
+// flow adds it to the table as accepted, unless the packet resets it. It reports whether the
+// packet begins an answer that counts as a failure of the upstream.
+func (r *Relay) recordUpstreamPacket(now time.Duration, h segment.Header) (failed bool) {
 	s := r.flows[h.Flow]
 	if s == nil {
 		if h.Has(segment.Reset) {
-			return
+			return false
 		}
 		s = &flowState{phase: accepted}
 		r.flows[h.Flow] = s
@@ -53,7 +54,7 @@
 	s.lastSeen, s.upstreamSeen = now, now
 	if s.phase == offered && s.opening != nil && h.Has(segment.Reset) {
 		r.close(now, s) // the upstream has refused the flow
-		return
+		return false
 	}
 	if h.Has(segment.Open) {
 		s.firstSequence, s.firstKnown = h.Sequence, true
@@ -69,7 +70,9 @@
 	}
 	if h.Length > 0 && s.running {
 		r.port.RecordLatency(Answering, now-s.waitingSince)
-		r.detector.recordSuccess(now)
+		if failed = r.answerTimes.record(h.Flow.VIP(), now-s.waitingSince); !failed {
+			r.detector.recordSuccess(now)
+		}
 		r.endRequest(now, s, true)
 	}
 	if h.Has(segment.Fin) {
@@ -78,6 +81,7 @@
 	if h.Has(segment.Reset) || s.callerDone && s.upstreamDone {
 		r.close(now, s)
 	}
+	return failed
 }
 
 // announce sends an Owned message for the flow, with the start id of the upstream,
