--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -220,7 +220,9 @@
 // running.
 func (d *Director) Tick(now, since time.Duration) {
 	d.members.tick(now, since)
-	d.deliverHeld(peer.Addr{}, d.absences.expire(now))
+	for _, agent := range d.absences.overdue(now) {
+		d.deliverHeld(agent, d.absences.end(agent))
+	}
 	idle := defaultIdleTimeout
 	if c := d.config.Load(); c != nil && c.IdleTimeout() > 0 {
 		idle = c.IdleTimeout()
--- a/pkg/director/restart.go
+++ b/pkg/director/restart.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,30 +92,6 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.remove(agent)
-}
-
-// expire ends the absences that have lasted for maxAbsence and returns their packets.
-func (a *absences) expire(now time.Duration) []heldPacket {
-	if a.count.Load() == 0 {
-		return nil
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []heldPacket
-	for _, agent := range slices.SortedFunc(maps.Keys(a.byAgent), comparePeers) {
-		if now-a.byAgent[agent].since >= maxAbsence {
-			out = append(out, a.remove(agent)...)
-		}
-	}
-	return out
-}
-
-// comparePeers orders agents by address, so that simulated runs are reproducible.
-func comparePeers(a, b peer.Addr) int { return slices.Compare(a[:], b[:]) }
-
-// remove is end with the lock held.
-func (a *absences) remove(agent peer.Addr) []heldPacket {
 	x := a.byAgent[agent]
 	if x == nil {
 		return nil
@@ -129,6 +104,24 @@
 	return newestFirst(x.packets)
 }
 
+// overdue returns the agents that have been absent for maxAbsence. They are sorted, so that
+// simulated runs are reproducible.
+func (a *absences) overdue(now time.Duration) []peer.Addr {
+	if a.count.Load() == 0 {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []peer.Addr
+	for agent, x := range a.byAgent {
+		if now-x.since >= maxAbsence {
+			out = append(out, agent)
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.Addr) int { return slices.Compare(a[:], b[:]) })
+	return out
+}
+
 // newestFirst orders packets by the flow that began to wait last, and those of one flow by
 // their arrival. The upstream gets the requests of its whole absence at once and serves them
 // one after the other: those that have waited longest have mostly missed their callers'
@@ -144,21 +137,30 @@
 	return packets
 }
 
-// deliverHeld sends held packets to the present owners of their flows. A packet
-// whose flow has been removed, has ended with its upstream or is being searched for is
-// dropped: its caller sends it again.
+// deliverHeld sends the packets that were held for an agent.
 func (d *Director) deliverHeld(agent peer.Addr, packets []heldPacket) {
 	if len(packets) == 0 {
 		return
 	}
 	delivered := 0
 	for _, p := range packets {
-		s := d.lock(p.flow)
-		if rec := s.flows[p.flow]; rec != nil && rec.gone == nil && !rec.searching {
-			d.deliver(s, rec, p.packet)
+		if d.deliverHeldPacket(p) {
 			delivered++
 		}
-		s.mu.Unlock()
 	}
 	d.port.RecordDecision(Decision{Event: HeldDelivered, Flow: packets[0].flow, Agent: agent, Tried: delivered})
 }
+
+// deliverHeldPacket sends a packet to the present owner of its flow. A packet whose flow has
+// been removed, has ended with its upstream or is being searched for is dropped: its caller
+// sends it again.
+func (d *Director) deliverHeldPacket(p heldPacket) bool {
+	s := d.lock(p.flow)
+	defer s.mu.Unlock()
+	rec := s.flows[p.flow]
+	if rec == nil || rec.gone != nil || rec.searching {
+		return false
+	}
+	d.deliver(s, rec, p.packet)
+	return true
+}
