--- a/internal/fleet/flow_collector.go
+++ b/internal/fleet/flow_collector.go
@@ -191,10 +191,10 @@
 // may use different collectors for a while.
 func collectorTermAt(t time.Time) uint64 { return uint64(t.Unix() / int64(collectorTerm.Seconds())) }
 
-// storeFlows writes a part of the encoded flows of this entry to the store through the collector of
-// its failure domain, and by itself if it does not reach that one. It returns the era of the
-// store in which they were written at the latest, and errStoreUnavailable if the store does
-// not answer the collector.
+// storeFlows writes a part of the encoded flows of this entry to the store through the
+// collector of its failure domain, and by itself if it does not reach that one. It returns the
+// era of the store in which they were written at the latest, and errStoreUnavailable if the
+// store does not answer the collector.
 func (e *Entry) storeFlows(ctx context.Context, part string, value []byte, term uint64, attempt int) (era uint64, err error) {
 	candidates := append(e.entries.aliveIn(e.now(), e.settings.FailureDomain), e.self)
 	collector := chooseCollector(candidates, term, attempt)
@@ -210,8 +210,8 @@
 	return e.flowCollector.add(ctx, flowsKey(e.self, part), value)
 }
 
-// putFlows sends a part of the encoded flows of this entry to a collector and returns the era of the
-// store that it names. It returns errStoreUnavailable for status 503, and another error for
+// putFlows sends a part of the encoded flows of this entry to a collector and returns the era
+// of the store that it names. It returns errStoreUnavailable for status 503, and another error for
 // any other status but 200.
 func (e *Entry) putFlows(ctx context.Context, collector peer.Addr, part string, value []byte) (era uint64, err error) {
 	address := netip.AddrPortFrom(collector.Addr(), e.settings.PeerPort+1)
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -198,7 +198,8 @@
 func (e *Entry) helloMessage(wantsReply, withEntries bool) peer.HelloMessage {
 	now := e.now()
 	hello := peer.HelloMessage{
-		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain, Ready: e.ready(), Settled: e.director.Settled(e.now()), VerifiedAgo: neverVerified,
+		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain,
+		Ready: e.ready(), Settled: e.director.Settled(e.now()), VerifiedAgo: neverVerified,
 		StoreEra: e.store.Era(), Evacuation: e.config.evacuations.message(),
 	}
 	if withEntries {
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -158,8 +158,8 @@
 	return nil
 }
 
-// restoreFlowsPart is restoreFlows for one part. A flow that is in a part of before the
-// whole, and has ended since, is not reset unless its upstream has ended, too.
+// restoreFlowsPart is restoreFlows for one part. The added flows may be older than the whole:
+// a flow among them that has ended since is reset only if its upstream has ended, too.
 func (e *Entry) restoreFlowsPart(ctx context.Context, part string) error {
 	for ctx.Err() == nil {
 		value, err := e.readFlows(ctx, flowsKey(e.self, part))
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -31,7 +31,8 @@
 		// Seed is the seed of the upstreams' initial sequence numbers and, in a
 		// soak, of the faults.
 		Seed uint64
-		// Network is the first third octet of the loopback addresses to try.
+		// Network is the third octet of the loopback addresses. If another run on this
+		// machine uses it, the next one that is free is taken.
 		Network byte
 		// Callers is the number of flows that are kept open.
 		Callers int
--- a/internal/verb/platform_demo.go
+++ b/internal/verb/platform_demo.go
@@ -20,7 +20,8 @@
 
   -seed N      random seed of the upstreams (default 1)
   -callers N   flows that are kept open (default 40)
-  -network N   first third octet of the loopback addresses to try (default 90)
+  -network N   third octet of the loopback addresses (default 90); the next free one
+                if another run uses it
   -json        prints one JSON object
 `
 
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -33,7 +33,8 @@
   -upstreams N   upstreams, each with an agent (default 4)
   -report FILE   writes an HTML report: answers over time, the faults, and the
                  flows of each upstream
-  -network N     first third octet of the loopback addresses to try (default 92)
+  -network N     third octet of the loopback addresses (default 92); the next free one
+                 if another run uses it
 `
 
 type platformSoakRunner struct {
