A starting entry greets registered agents until they report

Searches leave out agents that have not reported. Test: a socket in place of an agent that never reports gets four hello messages within 2 s; before, fewer than four in 20 s.

--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -223,8 +223,15 @@
 	return hello
 }
 
-// sendHello sends a hello message to the known entries.
-func (e *Entry) sendHello() { e.sendHelloTo(e.entries.known(e.now())) }
+// sendHello sends a hello message to the known entries, and while this entry is not settled to
+// the registered agents that have not reported, as the one before may be lost: until an agent
+// knows this entry, searches from here miss its flows.
+func (e *Entry) sendHello() {
+	e.sendHelloTo(e.entries.known(e.now()))
+	if registered, _ := e.director.Registered(); !e.director.Settled(e.now()) {
+		e.introduce(registered)
+	}
+}
 
 // sendHelloToAlive sends a hello message to the live entries.
 func (e *Entry) sendHelloToAlive() {
