--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -46,8 +46,6 @@
 		seq    int
 		closed bool
 		run    map[string]int // requests by id
-		takes  int            // flows that opened
-		stray  int            // packets of flows that this endpoint does not hold
 	}
 
 	// heldFlow is a flow at an endpoint.
@@ -228,9 +226,6 @@
 		}
 		return
 	case f == nil, !f.open && p.ack != f.isn+1:
-		if !p.has(flagRST) {
-			e.stray++
-		}
 		e.bounce(p)
 		return
 	}
@@ -241,7 +236,6 @@
 	}
 	if !f.open {
 		f.open, f.openedAt = true, now
-		e.takes++
 	}
 	f.s.receive(now, p)
 	e.serve(f)
@@ -359,9 +353,3 @@
 	}
 	return n
 }
-
-func (e *endpoint) strays() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.stray
-}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -61,7 +61,6 @@
 		sent    map[string]bool
 		ran     map[string]int
 		runs    int
-		resets  map[flowID]bool // sent by endpoints
 		breaks  int
 		over    bool
 		routes  map[string]routeDoc
@@ -89,6 +88,8 @@
 		zone     string
 		host     netip.Addr
 		settings string
+		fields   map[string]any // of the settings
+		joins    bool           // added to a system that runs
 		log      *os.File
 		mu       sync.Mutex
 		cmd      *exec.Cmd
@@ -104,7 +105,7 @@
 func newWorld(dir, program string, record *os.File) (*world, error) {
 	w := &world{
 		dir: dir, program: program, record: record, began: time.Now(), store: newStore(), version: 3,
-		sent: make(map[string]bool), ran: make(map[string]int), resets: make(map[flowID]bool), routes: make(map[string]routeDoc), clients: make(map[string]*consumers),
+		sent: make(map[string]bool), ran: make(map[string]int), routes: make(map[string]routeDoc), clients: make(map[string]*consumers),
 	}
 	for n := byte(60); n < 120; n++ {
 		w.net = n
@@ -196,11 +197,7 @@
 	}
 }
 
-func (w *world) noteEndpointReset(id flowID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.resets[id] = true
-}
+func (w *world) noteEndpointReset(id flowID) { w.note("reset of the endpoint: flow %s", id) }
 
 // disturbed records that an unplanned disturbance has just ended, or goes on.
 func (w *world) disturbed() {
@@ -293,8 +290,8 @@
 }
 
 // newProc prepares a machine with a daemon and starts it.
-func (w *world) newProc(name, role, zone string, host netip.Addr, seeds []netip.Addr, service string) (*proc, error) {
-	p := &proc{w: w, name: name, role: role, zone: zone, host: host, settings: filepath.Join(w.dir, name+".json")}
+func (w *world) newProc(name, role, zone string, host netip.Addr, seeds []netip.Addr, service string, joins bool) (*proc, error) {
+	p := &proc{w: w, name: name, role: role, zone: zone, host: host, joins: joins, settings: filepath.Join(w.dir, name+".json")}
 	listen := map[string]any{"datagrams": w.at(host, portDatagrams), "ready": w.at(host, portReady), "control": w.at(host, portControl)}
 	class, serves := "front", []string{"front", "control"}
 	limits := map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0}
@@ -310,7 +307,7 @@
 	doc := map[string]any{
 		"node-name": name, "role": role, "machine-class": class, "serves": serves, "ip": host, "zone": zone, "region": "steiermark",
 		"zones":  map[string]string{"graz-nord": "steiermark", "graz-sued": "steiermark", "leoben": "steiermark"},
-		"listen": listen, "internal-ports": []int{w.base + portPeers, w.base + portPeers + 15}, "seeds": seedList, "bootstrap": true, "fault-counted": role == "entry",
+		"listen": listen, "internal-ports": []int{w.base + portPeers, w.base + portPeers + 15}, "seeds": seedList, "fault-counted": role == "entry",
 		"limits": limits, "data-dir": nil, "discovery": "local", "entry": "announce", "heartbeat-ms": heartbeatEvery.Milliseconds(),
 		"contracts":       []string{"base", "drain", "config", "cost", "recover", "flows", "platform"},
 		"fault-tolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
@@ -326,13 +323,8 @@
 	if role == "agent" {
 		doc["app"], doc["service"] = w.at(host, portApp), service
 	}
-	b, err := json.MarshalIndent(doc, "", " ")
-	if err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
-		return nil, err
-	}
+	p.fields = doc
+	var err error
 	if p.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
 		return nil, err
 	}
@@ -349,6 +341,14 @@
 	if p.stopped {
 		return nil
 	}
+	p.fields["bootstrap"] = p.starts == 0 && !p.joins
+	b, err := json.MarshalIndent(p.fields, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
+		return err
+	}
 	cmd := exec.Command(p.w.program, "platform", p.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "HICKORYHOOK_BOOT=" + p.settings}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
@@ -512,7 +512,7 @@
 	seeds := []netip.Addr{w.addr(0, 11), w.addr(1, 11), w.addr(2, 11)}
 	for z, zone := range s.zones {
 		for i := range s.fronts[zone] {
-			if _, err := w.newProc(fmt.Sprintf("front-%s-%d", zone, i+1), "entry", zone, w.addr(byte(z), byte(11+i)), seeds, ""); err != nil {
+			if _, err := w.newProc(fmt.Sprintf("front-%s-%d", zone, i+1), "entry", zone, w.addr(byte(z), byte(11+i)), seeds, "", false); err != nil {
 				return err
 			}
 		}
@@ -521,7 +521,7 @@
 			name := fmt.Sprintf("side-%s-%d", zone, n-100)
 			host := w.addr(byte(z), n)
 			n++
-			if _, err := w.newProc(name, "agent", zone, host, seeds, service); err != nil {
+			if _, err := w.newProc(name, "agent", zone, host, seeds, service, false); err != nil {
 				return err
 			}
 			e, err := newEndpoint(w, name, service, zone, host, 2, work)
@@ -566,7 +566,7 @@
 	n := s.fronts[zone] + 1 + earlier
 	name := fmt.Sprintf("front-%s-%d", zone, n)
 	w.note("machine %s is added", name)
-	return w.newProc(name, "entry", zone, w.addr(byte(z), byte(10+n)), []netip.Addr{w.addr(0, 11), w.addr(1, 11), w.addr(2, 11)}, "")
+	return w.newProc(name, "entry", zone, w.addr(byte(z), byte(10+n)), []netip.Addr{w.addr(0, 11), w.addr(1, 11), w.addr(2, 11)}, "", true)
 }
 
 // remove takes a machine away: its daemon gets SIGTERM, and SIGKILL after the grace time.
