Entries log whether their flow holders are complete

An entry may reset a flow without a known owner only while its record of the services that may hold flows is complete.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -141,6 +141,7 @@
 	c.mu.Unlock()
 	c.metrics.increment("configurations")
 	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from))
+	c.logHolders(from)
 	c.onChange()
 }
 
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
 	"hickoryhook.example/platform"
@@ -90,6 +91,17 @@
 		return
 	}
 	c.director.MergeHolders(holders)
+	c.logHolders(storeSource)
+}
+
+// logHolders logs whether the flow holders are complete, after a change that came from a
+// source: only then may a search prove that no agent holds a flow.
+func (c *configSync) logHolders(from string) {
+	version := uint64(0)
+	if config := c.director.Config(); config != nil {
+		version = config.Version()
+	}
+	c.log.Info("flow holders", zap.Bool("complete", c.director.HoldersComplete()), zap.Uint64("config", version), zap.String("from", from))
 }
 
 // decodeHolders decodes the flow holders that putHolders has written; nil stands for none.
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -181,6 +181,7 @@
 		}
 		e.log.Info("registrations of another entry", zap.Stringer("entry", a))
 		e.director.MergeHolders(r.Holders)
+		e.config.logHolders(a.String())
 		return r.addresses, true
 	}
 	return nil, false
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -282,6 +282,9 @@
 // version of the configuration until the next one.
 func (d *Director) MergeHolders(holders map[netip.AddrPort][]string) { d.history.merge(holders) }
 
+// HoldersComplete reports whether Holders misses no service that may hold flows.
+func (d *Director) HoldersComplete() bool { return d.history.complete() }
+
 // SetEvacuated sets the failure domains whose agents get no new flows. Open flows stay
 // where they are.
 func (d *Director) SetEvacuated(domains []string) { d.members.setEvacuated(domains) }
