An entry with an outdated configuration keeps the record of flow holders

Callers could lose flows after a loss of all entries: the record in the store lacked a service that holds flows.

Cause: a pending request to write the flow holders outlives a pause of the entry or an outage of the store. The entry of rank 0 then writes its own flow holders before it has read the configuration, and replaces a record that another entry has written for a newer version meanwhile. Seen while the test of the skipped version was extended: after the store came back, the first write was that of version 1, over a record of version 5.

The entry of rank 0 verifies it each second.

TestOutdatedEntryKeepsRecord failed before (one write without a verified configuration, none expected). TestNextEntryWritesHolders verifies the configuration now, as a running entry does; what it requires is unchanged.

--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -62,11 +62,12 @@
 
 // mayWriteHolders reports whether the flow holders are to be written and those of this entry
 // may replace the record in the store. Until it has read the record or received it from
-// another entry, its own may be incomplete. Without a request they are written only while the
-// entry is settled: one that was paused takes itself for the one of rank 0 at first.
+// another entry, its own may be incomplete, and so may one for a configuration that is not
+// current. Without a request they are written only while the entry is settled: one that was
+// paused takes itself for the one of rank 0 at first.
 func (c *configSync) mayWriteHolders(requested, written bool) bool {
 	_, known := c.director.Registered()
-	return known && (requested || !written && c.director.Settled(c.now()))
+	return known && c.director.ConfigCurrent(c.now()) && (requested || !written && c.director.Settled(c.now()))
 }
 
 // putHolders writes the flow holders to the store.
--- a/internal/fleet/stopping_test.go
+++ b/internal/fleet/stopping_test.go
@@ -102,6 +102,32 @@
 	is.NoErr(<-ended)
 }
 
+// TestOutdatedEntryKeepsRecord guards against an entry of rank 0 that was paused or cut off from
+// the store, and replaces a record of flow holders that covers newer versions than its own.
+func TestOutdatedEntryKeepsRecord(t *testing.T) {
+	is := is.New(t)
+	p, standIn := newTestProcess(t, func(store http.Handler) http.Handler { return store })
+	d := director.New(p.self, p.codec, nil)
+	d.MergeHolders(nil)
+	d.SetRegistered(0, nil)
+	c := newConfigSync(p, d, func() {}, func([]string) {})
+	c.putInForce(route.New(1, nil), nil, "test")
+	c.requestHoldersWrite()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.writeHolders(ctx) }()
+	time.Sleep(2 * holdersWriteInterval)
+	is.Equal(standIn.Calls()["kv-txn"], 0) // the configuration was not verified
+	found := false
+	for end := time.Now().Add(testWait); !found && time.Now().Before(end); time.Sleep(reportInterval) {
+		d.MarkVerified(p.now())
+		_, found = standIn.Get(holdersKey)
+	}
+	is.True(found)
+	cancel()
+	is.NoErr(<-ended)
+}
+
 // TestNextEntryWritesHolders covers an entry of rank 0 that ends before it has written flow
 // holders. The next one has dropped the request, and must write them when it has rank 0: with
 // an incomplete record a starting entry resets flows that upstreams hold.
@@ -124,6 +150,7 @@
 	_, found := standIn.Get(holdersKey)
 	is.True(!found) // while another entry has rank 0
 	for end := time.Now().Add(testWait); !found && time.Now().Before(end); time.Sleep(reportInterval) {
+		d.MarkVerified(p.now())            // as an entry does that reads the configuration each second
 		_, found = standIn.Get(holdersKey) // the first one has been silent for entryTimeout
 	}
 	is.True(found)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -373,7 +373,7 @@
 // handleUnrouted removes the flow of a packet whose VIP has no route from the cache
 // and resets it, if the configuration is current. It does not reply to a reset.
 func (d *Director) handleUnrouted(now time.Duration, s *shard, h segment.Header) {
-	if !d.configCurrent(now) {
+	if !d.ConfigCurrent(now) {
 		return // a newer configuration may have the route
 	}
 	rec := s.flows[h.Flow]
@@ -388,8 +388,8 @@
 	d.reset(event, h, 0)
 }
 
-// configCurrent reports whether the configuration was verified within maxConfigAge.
-func (d *Director) configCurrent(now time.Duration) bool {
+// ConfigCurrent reports whether the configuration was verified within maxConfigAge.
+func (d *Director) ConfigCurrent(now time.Duration) bool {
 	at := time.Duration(d.verified.Load())
 	return at != 0 && now-at <= maxConfigAge
 }
