Records of flow holders name the version through which they are complete

Cause, second of two: an entry took any record of flow holders for complete, although the record in the store is behind after each change and the answer of another entry may be. A search over the services of such a record proved that no agent holds the flow. That no earlier entry answered made no difference. Entries that had really skipped a version completed each other in the same way.

Change: the record in the store and the registrations that an entry sends name the version through which no service is missing.

Why it works: a record from before a change cannot pass for complete after it, whoever sends it and however late it comes.

--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -90,32 +90,22 @@
 	}
 	e.discovery.registryRead = true
 	if first {
-		e.config.mergeHolders(r.holders)
-	}
-	if !first {
+		e.config.mergeHolders(r)
+	} else {
 		e.restoreMissing(r)
 	}
-	if !first && !known {
-		e.completeHolders(r)
-	}
 	e.sendHelloTo(e.entries.add(e.now(), e.withoutSelf(r.entries)...))
 	if first {
 		e.introduce(r.agents)
 		sleep(ctx, peerAnswerTime-e.now())
 		e.discovery.agentsOfPeer, e.discovery.agentsOfPeerAt = e.fetchFromEarlierEntry(), e.now()
 	}
+	if first || !known {
+		e.completeHolders(r)
+	}
 	if e.now()-e.discovery.agentsOfPeerAt < agentsOfPeerRetention {
 		r.agents = append(r.agents, e.discovery.agentsOfPeer...)
 	}
 	e.director.SetRegistered(e.now(), r.agents)
 	return nil
 }
-
-// completeHolders completes the flow holders after a skipped version of the configuration: by
-// those of another entry that has seen all versions, or by the record in the store if all
-// have skipped one.
-func (e *Entry) completeHolders(r registry) {
-	if _, ok := e.fetchRegistrationsFrom(e.entriesToAsk()...); !ok {
-		e.config.mergeHolders(r.holders)
-	}
-}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -110,10 +110,12 @@
 			"config-version": e.configVersion,
 			"evacuation":     e.config.evacuations.state,
 			"flows":          func() any { return e.director.Flows() },
-			"holders":        func() any { return map[string]any{"complete": e.director.HoldersComplete(), "through": e.director.HoldersThrough()} },
-			"link":           e.linkStatus,
-			"ready":          func() any { return e.ready() },
-			"settled":        func() any { return e.director.Settled(e.now()) },
+			"holders": func() any {
+				return map[string]any{"complete": e.director.HoldersComplete(), "through": e.director.HoldersThrough()}
+			},
+			"link":    e.linkStatus,
+			"ready":   func() any { return e.ready() },
+			"settled": func() any { return e.director.Settled(e.now()) },
 		}),
 		e.httpTask(e.settings.ReadyAddress, readyHandler(e.ready)),
 	}
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -19,7 +19,7 @@
 
 // startPair starts an agent with a ready upstream and an entry, and waits until the entry is
 // settled and has written its keys.
-func (s *testSite) startPair() {
+func (s *testSite) startPair() (stopEntry func()) {
 	s.t.Helper()
 	is := is.New(s.t)
 	agent, err := fleet.NewAgent(s.settings(2), zap.NewNop())
@@ -27,17 +27,18 @@
 	s.start(agent)
 	entry, err := fleet.NewEntry(s.settings(1), zap.NewNop())
 	is.NoErr(err)
-	s.start(entry)
+	stopEntry = s.start(entry)
 	s.sendHeartbeat("ready", 1)
 	s.eventually("the entry is ready", s.ready)
 	s.eventually("the entry is settled", func() bool { return s.gauge(1, "settled") == true })
 	s.eventually("the keys are written", func() bool { return len(s.missingKeys()) == 0 })
+	return stopEntry
 }
 
 // missingKeys returns the keys of the entry that the store does not have.
 func (s *testSite) missingKeys() []string {
 	var missing []string
-	for _, key := range []string{"hickoryhook/agents", "hickoryhook/holders", "hickoryhook/entry/" + s.ip(1)} {
+	for _, key := range []string{"hickoryhook/agents", "hickoryhook/holders", "hickoryhook/flow-holders", "hickoryhook/entry/" + s.ip(1)} {
 		if _, ok := s.store.Get(key); !ok {
 			missing = append(missing, key)
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -363,7 +363,7 @@
 	is.NoErr(err)
 	s.start(entry)
 	s.sendHeartbeat("ready", 1)
-	keys := []string{"hickoryhook/agents", "hickoryhook/holders", "hickoryhook/entry/" + s.ip(1)}
+	keys := []string{"hickoryhook/agents", "hickoryhook/holders", "hickoryhook/flow-holders", "hickoryhook/entry/" + s.ip(1)}
 	exist := func() bool {
 		return !slices.ContainsFunc(keys, func(key string) bool {
 			_, ok := s.store.Get(key)
@@ -408,7 +408,7 @@
 	garbage := []string{
 		"\x00\xff", "null", "[]", `{"items":null,"has-more":true}`, `{"items":[{"key":""}],"has-more":true}`,
 		`{"key":"op/config","value":"e30=","rev":1}`, `{"lease":0,"ttl-ms":-1}`, `{"events":[{"key":"op/config"}],"as-of":18446744073709551615}`,
-		`{"items":[{"key":"hickoryhook/agents","value":"AAAA"},{"key":"hickoryhook/holders","value":"AAAA"}],"has-more":true}`,
+		`{"items":[{"key":"hickoryhook/agents","value":"AAAA"},{"key":"hickoryhook/flow-holders","value":"AAAA"},{"key":"hickoryhook/holders","value":"AAAA"}],"has-more":true}`,
 		`{"items":[{"key":"hickoryhook/entry/x","value":"AAAA"},{"key":"hickoryhook/entry/0.0.0.0"}]}`,
 	}
 	var calls atomic.Int64
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -19,6 +19,13 @@
 	holdersWriteInterval = 500 * time.Millisecond
 )
 
+// holdersRecord is the record of flow holders in the store. No service of a version of the
+// configuration up to Through is missing.
+type holdersRecord struct {
+	Through uint64                      `json:"through"`
+	Holders map[netip.AddrPort][]string `json:"holders"`
+}
+
 // requestHoldersWrite requests a write of the services that may hold flows. It
 // does not block.
 func (c *configSync) requestHoldersWrite() {
@@ -70,31 +77,63 @@
 	return known && c.director.ConfigCurrent(c.now()) && (requested || !written && c.director.Settled(c.now()))
 }
 
-// putHolders writes the flow holders to the store.
+// putHolders writes the flow holders to the store, for builds up to 646ed7e without their
+// version, too.
 func (c *configSync) putHolders(ctx context.Context) error {
-	value, err := json.Marshal(c.director.Holders())
+	value, err := json.Marshal(holdersRecord{Through: c.director.HoldersThrough(), Holders: c.director.Holders()})
+	if err != nil {
+		return errors.Wrap(err, "encode holders")
+	}
+	old, err := json.Marshal(c.director.Holders())
 	if err != nil {
 		return errors.Wrap(err, "encode holders")
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	c.metrics.increment("store-writes")
-	return c.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: holdersKey, Value: value}}})
+	return c.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: holdersKey, Value: value}, {Key: oldHoldersKey, Value: old}}})
 }
 
-// mergeHolders merges the flow holders in the store into those of this entry.
-// value is nil if the store has none. If value cannot be decoded, nothing is merged
-// and the director stays unsettled until it gets the flow holders elsewhere.
-func (c *configSync) mergeHolders(value []byte) {
-	holders, err := decodeHolders(value)
+// mergeHolders merges the flow holders in the store into those of this entry. Values that
+// cannot be decoded are skipped; the director stays unsettled until it gets complete flow
+// holders elsewhere.
+func (c *configSync) mergeHolders(r registry) {
+	old, err := decodeOldHolders(r.oldHolders)
 	if err != nil {
-		c.log.Error("flow holders not decoded", daemon.Err(err))
-		return
+		c.log.Error("flow holders not decoded", zap.String("key", oldHoldersKey), daemon.Err(err))
+	} else if r.oldHolders != nil {
+		c.director.MergeHolders(old, 0)
+	}
+	record, err := decodeHolders(r.holders)
+	if err != nil {
+		c.log.Error("flow holders not decoded", zap.String("key", holdersKey), daemon.Err(err))
+	} else if r.holders != nil {
+		c.director.MergeHolders(record.Holders, record.Through)
 	}
-	c.director.MergeHolders(holders, c.versionInForce())
 	c.logHolders(storeSource)
 }
 
+// completeHolders completes the flow holders by those of another entry, else by the record in
+// the store. If there is no record, and no entry was started before this one, no flow was
+// placed under an earlier version.
+func (e *Entry) completeHolders(r registry) {
+	if e.director.HoldersComplete() {
+		return
+	}
+	if _, ok := e.fetchRegistrationsFrom(e.entriesToAsk()...); ok && e.director.HoldersComplete() {
+		return
+	}
+	e.config.mergeHolders(r)
+	if e.director.HoldersComplete() {
+		return
+	}
+	version := e.config.versionInForce()
+	if r.holders == nil && r.oldHolders == nil && version != 0 && len(e.earlierEntries()) == 0 {
+		e.director.MergeHolders(nil, version)
+		e.config.logHolders("first start")
+	}
+}
+
 // logHolders logs through which version the flow holders are complete, after a change that
 // came from a source. Unless that is the version in force, no search proves that no agent
 // holds a flow.
@@ -111,12 +150,24 @@
 	return 0
 }
 
-// decodeHolders decodes the flow holders that putHolders has written; nil stands for none.
-func decodeHolders(value []byte) (map[netip.AddrPort][]string, error) {
-	holders := make(map[netip.AddrPort][]string)
+// decodeHolders decodes a record that putHolders has written; nil stands for none.
+func decodeHolders(value []byte) (holdersRecord, error) {
+	var record holdersRecord
+	if value == nil {
+		return record, nil
+	}
+	if err := json.Unmarshal(value, &record); err != nil {
+		return holdersRecord{}, errors.Wrap(err, "decode holders")
+	}
+	return record, nil
+}
+
+// decodeOldHolders decodes flow holders without a version; nil stands for none.
+func decodeOldHolders(value []byte) (map[netip.AddrPort][]string, error) {
 	if value == nil {
-		return holders, nil
+		return nil, nil
 	}
+	var holders map[netip.AddrPort][]string
 	if err := json.Unmarshal(value, &holders); err != nil {
 		return nil, errors.Wrap(err, "decode holders")
 	}
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -34,9 +34,11 @@
 type registrations struct {
 	// Agents are the addresses of the agents that are registered or have reported.
 	Agents []string `json:"agents"`
-	// Holders are the services that may hold flows of each VIP.
-	Holders   map[netip.AddrPort][]string `json:"holders"`
-	addresses []peer.Addr                 // Agents, decoded
+	// Holders are the services that may hold flows of each VIP. None of a version of the
+	// configuration up to HoldersThrough is missing; it is 0 from builds up to 646ed7e.
+	Holders        map[netip.AddrPort][]string `json:"holders"`
+	HoldersThrough uint64                      `json:"holders-through"`
+	addresses      []peer.Addr                 // Agents, decoded
 }
 
 // serveRegistrations serves the registrations to another entry, or 503 if this
@@ -52,7 +54,7 @@
 			agents = append(agents, a)
 		}
 	}
-	r := registrations{Agents: make([]string, len(agents)), Holders: c.director.Holders()}
+	r := registrations{Agents: make([]string, len(agents)), HoldersThrough: c.director.HoldersThrough(), Holders: c.director.Holders()}
 	for i, a := range agents {
 		r.Agents[i] = a.String()
 	}
@@ -165,11 +167,16 @@
 // was started before this one: it returns that one's agents and merges its flow holders. It
 // returns nil if there is no such entry, as after the start of all.
 func (e *Entry) fetchFromEarlierEntry() []peer.Addr {
-	earlier := e.entries.startedBefore(e.now(), e.started.Add(-minStartDifference))
+	earlier := e.earlierEntries()
 	agents, _ := e.fetchRegistrationsFrom(earlier[:min(maxEntriesAsked, len(earlier))]...)
 	return agents
 }
 
+// earlierEntries returns the live entries that were started before this one.
+func (e *Entry) earlierEntries() []peer.Addr {
+	return e.entries.startedBefore(e.now(), e.started.Add(-minStartDifference))
+}
+
 // fetchRegistrationsFrom asks entries in turn for the registrations until one returns them.
 // It merges that one's flow holders and returns its agents, and false if none answers.
 func (e *Entry) fetchRegistrationsFrom(entries ...peer.Addr) ([]peer.Addr, bool) {
@@ -180,15 +187,35 @@
 			continue
 		}
 		e.log.Info("registrations of another entry", zap.Stringer("entry", a))
-		e.director.MergeHolders(r.Holders, e.config.versionInForce())
+		e.director.MergeHolders(r.Holders, r.HoldersThrough)
 		e.config.logHolders(a.String())
 		return r.addresses, true
 	}
 	return nil, false
 }
 
-// getRegistrations returns the registrations of another entry.
+// getRegistrations returns the registrations of another entry. A build up to 646ed7e does not
+// tell through which version its flow holders are complete: it is at least the version that
+// was in force there before, as it answers only while it takes them for complete.
 func (e *Entry) getRegistrations(from peer.Addr) (registrations, error) {
+	r, err := e.requestRegistrations(from)
+	if err != nil || r.HoldersThrough != 0 {
+		return r, err
+	}
+	version, err := e.requestVersion(from)
+	if err != nil {
+		e.log.Info("version of another entry not fetched", zap.Stringer("entry", from), daemon.Err(err))
+		return r, nil
+	}
+	if r, err = e.requestRegistrations(from); err != nil {
+		return registrations{}, err
+	}
+	r.HoldersThrough = max(r.HoldersThrough, version)
+	return r, nil
+}
+
+// requestRegistrations returns the response of another entry to one request.
+func (e *Entry) requestRegistrations(from peer.Addr) (registrations, error) {
 	value, err := e.getFromEntry(from, registrationsPath)
 	if err != nil {
 		return registrations{}, err
@@ -196,6 +223,19 @@
 	return decodeRegistrations(value)
 }
 
+// requestVersion returns the version of the configuration in force at another entry.
+func (e *Entry) requestVersion(from peer.Addr) (uint64, error) {
+	value, err := e.getFromEntry(from, configPath)
+	if err != nil {
+		return 0, err
+	}
+	config, err := e.config.decode(value, from.String())
+	if err != nil {
+		return 0, err
+	}
+	return config.Version(), nil
+}
+
 // decodeRegistrations decodes the response of serveRegistrations. It returns an error if it
 // lists more than maxProcesses agents or one has an address that no process can have.
 func decodeRegistrations(value []byte) (registrations, error) {
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -308,11 +308,14 @@
 				t.Fatalf("accepted %s", a)
 			}
 		}
-		holders, err := decodeHolders(b)
+		record, err := decodeHolders(b)
 		d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil)
-		d.MergeHolders(r.Holders, 1)
+		d.MergeHolders(r.Holders, r.HoldersThrough)
 		if err == nil {
-			d.MergeHolders(holders, 1)
+			d.MergeHolders(record.Holders, record.Through)
+		}
+		if old, err := decodeOldHolders(b); err == nil {
+			d.MergeHolders(old, 0)
 		}
 		p := &process{log: zap.NewNop()}
 		var reg registry
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -39,14 +39,18 @@
 	storePrefix = "hickoryhook/"
 	entryPrefix = storePrefix + "entry/"
 	agentsKey   = storePrefix + "agents"
-	holdersKey  = storePrefix + "holders"
+	// holdersKey has the flow holders with the version through which they are complete.
+	// oldHoldersKey has them without, for builds up to 646ed7e.
+	holdersKey    = storePrefix + "flow-holders"
+	oldHoldersKey = storePrefix + "holders"
 )
 
 // registry holds the registrations and the flow holders read from the store.
 type registry struct {
-	entries []peer.Addr
-	agents  []peer.Addr
-	holders []byte // encoded; nil if the store has none
+	entries    []peer.Addr
+	agents     []peer.Addr
+	holders    []byte // encoded; nil if the store has none
+	oldHolders []byte // encoded, without a version; nil if the store has none
 }
 
 // readRegistry reads the registrations. A stale read is cheaper for the store,
@@ -78,9 +82,13 @@
 // addRegistryItem decodes one item of the store into the registry. Items that
 // cannot be decoded are logged and skipped.
 func (p *process) addRegistryItem(r *registry, item platform.Item) {
-	if item.Key == holdersKey {
+	switch item.Key {
+	case holdersKey:
 		r.holders = item.Value
 		return
+	case oldHoldersKey:
+		r.oldHolders = item.Value
+		return
 	}
 	if item.Key == agentsKey {
 		agents, err := decodeAgents(item.Value)
