Entries that restart together read the configurations since the record

Cause: the record of flow holders in the store is of a version before the changes, and no entry is left that has seen those in between. The store still has them, for 20 s on the users' machines, but nothing says from which revision on.

Change: the record names the revision up to which all changes are in it, and an entry that cannot complete its flow holders otherwise watches the operators' keys from there. A record that does not cover the changes up to the watch's revision, or of an ended era, names none.

TestAllRestartAfterTwoChanges failed before (not settled within 20 s).

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -342,8 +342,8 @@
 		if e.Key != platform.ConfigKey || e.Deleted {
 			continue
 		}
-		config, err := c.decode(e.Value, storeSource)
-		if failure = err; err != nil {
+		var config *route.Config
+		if config, failure = c.decode(e.Value, storeSource); failure != nil {
 			version = 0
 			continue
 		}
--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -101,7 +101,7 @@
 		e.discovery.agentsOfPeer, e.discovery.agentsOfPeerAt = e.fetchFromEarlierEntry(), e.now()
 	}
 	if first || !known {
-		e.completeHolders(r)
+		e.completeHolders(ctx, r)
 	}
 	if e.now()-e.discovery.agentsOfPeerAt < agentsOfPeerRetention {
 		r.agents = append(r.agents, e.discovery.agentsOfPeer...)
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -20,10 +20,13 @@
 )
 
 // holdersRecord is the record of flow holders in the store. No service of a version of the
-// configuration up to Through is missing.
+// configuration up to Through is missing. All later versions are among the changes since
+// Revision of the store in the era, unless Revision is 0.
 type holdersRecord struct {
-	Through uint64                      `json:"through"`
-	Holders map[netip.AddrPort][]string `json:"holders"`
+	Through  uint64                      `json:"through"`
+	Era      uint64                      `json:"era"`
+	Revision uint64                      `json:"revision"`
+	Holders  map[netip.AddrPort][]string `json:"holders"`
 }
 
 // requestHoldersWrite requests a write of the services that may hold flows. It
@@ -80,7 +83,7 @@
 // putHolders writes the flow holders to the store, for builds up to 646ed7e without their
 // version, too.
 func (c *configSync) putHolders(ctx context.Context) error {
-	value, err := json.Marshal(holdersRecord{Through: c.director.HoldersThrough(), Holders: c.director.Holders()})
+	value, err := json.Marshal(c.holdersRecord())
 	if err != nil {
 		return errors.Wrap(err, "encode holders")
 	}
@@ -94,10 +97,21 @@
 	return c.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: holdersKey, Value: value}, {Key: oldHoldersKey, Value: old}}})
 }
 
+// holdersRecord returns the flow holders of this entry. The record names a revision only if it
+// covers all changes up to there.
+func (c *configSync) holdersRecord() holdersRecord {
+	revision, version := c.watchedUntil()
+	record := holdersRecord{Through: c.director.HoldersThrough(), Holders: c.director.Holders()}
+	if version != 0 && version <= record.Through {
+		record.Era, record.Revision = revision.Era, revision.Number
+	}
+	return record
+}
+
 // mergeHolders merges the flow holders in the store into those of this entry. Values that
 // cannot be decoded are skipped; the director stays unsettled until it gets complete flow
-// holders elsewhere.
-func (c *configSync) mergeHolders(r registry) {
+// holders elsewhere. It returns the record, the zero value if there is none.
+func (c *configSync) mergeHolders(r registry) holdersRecord {
 	old, err := decodeOldHolders(r.oldHolders)
 	if err != nil {
 		c.log.Error("flow holders not decoded", zap.String("key", oldHoldersKey), daemon.Err(err))
@@ -111,19 +125,25 @@
 		c.director.MergeHolders(record.Holders, record.Through)
 	}
 	c.logHolders(storeSource)
+	return record
 }
 
 // completeHolders completes the flow holders by those of another entry, else by the record in
-// the store. If there is no record, and no entry was started before this one, no flow was
-// placed under an earlier version.
-func (e *Entry) completeHolders(r registry) {
+// the store and the versions of the configuration since it was written. If there is no record,
+// and no entry was started before this one, no flow was placed under an earlier version.
+func (e *Entry) completeHolders(ctx context.Context, r registry) {
 	if e.director.HoldersComplete() {
 		return
 	}
 	if _, ok := e.fetchRegistrationsFrom(e.entriesToAsk()...); ok && e.director.HoldersComplete() {
 		return
 	}
-	e.config.mergeHolders(r)
+	record := e.config.mergeHolders(r)
+	if !e.director.HoldersComplete() && record.Revision != 0 {
+		if err := e.config.replay(ctx, record); err != nil {
+			e.log.Warn("configurations since the record of flow holders not read", zap.Uint64("through", record.Through), daemon.Err(err))
+		}
+	}
 	if e.director.HoldersComplete() {
 		return
 	}
@@ -134,6 +154,19 @@
 	}
 }
 
+// replay adds the services of all configurations since a record of flow holders was written,
+// if the store still has these changes.
+func (c *configSync) replay(ctx context.Context, record holdersRecord) error {
+	c.metrics.increment("store-watches")
+	events, err := c.store.Watch(ctx, platform.OperatorPrefix, platform.Revision{Era: record.Era, Number: record.Revision}, replayWait)
+	if err != nil {
+		return err
+	}
+	_, err = c.applyEvents(events.Events, record.Through)
+	c.logHolders(storeSource)
+	return err
+}
+
 // logHolders logs through which version the flow holders are complete, after a change that
 // came from a source. Unless that is the version in force, no search proves that no agent
 // holds a flow.
--- a/internal/fleet/skipped_test.go
+++ b/internal/fleet/skipped_test.go
@@ -108,6 +108,24 @@
 	}
 }
 
+// TestAllRestartAfterTwoChanges guards against resets of flows that were placed between two
+// changes of the configuration, when all entries restart before one has written the flow
+// holders: the store has the changes since the record was written.
+func TestAllRestartAfterTwoChanges(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t, 101)
+	s.putConfig(7, vipText)
+	stop := s.startPair()
+	stop()
+	s.putConfigTo("exposeserver", 11, vipText)
+	s.putConfig(14, vipText)
+	s.startEntry(1)
+	s.eventually("the entry is settled", func() bool { return s.gauge(1, "settled") == true })
+	body, complete := s.registrations(1)
+	is.True(complete)
+	is.True(strings.Contains(body, "exposeserver"))
+}
+
 // TestOutdatedRecordProvesNothing guards against resets of flows that were placed under a
 // version of which no record is left: all entries restart, and the store has lost its history.
 func TestOutdatedRecordProvesNothing(t *testing.T) {
