Openings without an agent are refused also after a skipped version

An opening for a service that has no agent is reset at once, unless agents may be unknown. It also waited for complete flow holders, which it does not depend on: callers waited for their timeout, up to now for a second after each change of the configuration, and after a version that is lost for good for over a minute.

Change: what depends on the agents alone (refusing an opening, writing the list of agents, greeting them, "settled" in hello messages) asks for the agents alone. A reset of a flow of unknown owner still asks for both.

--- a/internal/fleet/agentlist.go
+++ b/internal/fleet/agentlist.go
@@ -19,16 +19,16 @@
 
 // writeAgentList keeps the list of agents in the store. Every entry reads it to
 // know which agents must have reported before it treats a flow as lost; an entry
-// that starts while no other entry is running has no other source. Only the first settled entry
-// writes, by address: one that has just started may wait for agents that have left, as long as
-// the list names them.
+// that starts while no other entry is running has no other source. Only the first entry whose
+// agents are settled writes, by address: one that has just started may wait for agents that
+// have left, as long as the list names them.
 func (e *Entry) writeAgentList(ctx context.Context) error {
 	var written []peer.Addr
 	var writtenEra uint64 // of the store
 	for ctx.Err() == nil {
 		currentEra := e.eras.era()
 		e.sleepInEra(ctx, currentEra, agentListInterval)
-		if !e.director.Settled(e.now()) || e.entries.hasSettledBelow(e.now(), e.self) {
+		if !e.director.AgentsSettled(e.now()) || e.entries.hasSettledBelow(e.now(), e.self) {
 			written = nil // another entry may write in the meantime
 			continue
 		}
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -199,7 +199,7 @@
 	now := e.now()
 	hello := peer.HelloMessage{
 		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain,
-		Ready: e.ready(), Settled: e.director.Settled(e.now()), VerifiedAgo: neverVerified,
+		Ready: e.ready(), Settled: e.director.AgentsSettled(e.now()), VerifiedAgo: neverVerified,
 		StoreEra: e.store.Era(), Evacuation: e.config.evacuations.message(),
 	}
 	if withEntries {
@@ -223,12 +223,12 @@
 	return hello
 }
 
-// sendHello sends a hello message to the known entries, and while this entry is not settled to
-// the registered agents that have not reported, as the one before may be lost: until an agent
+// sendHello sends a hello message to the known entries, and while agents may be unknown to the
+// registered agents that have not reported, as the one before may be lost: until an agent
 // knows this entry, searches from here miss its flows.
 func (e *Entry) sendHello() {
 	e.sendHelloTo(e.entries.known(e.now()))
-	if registered, _ := e.director.Registered(); !e.director.Settled(e.now()) {
+	if registered, _ := e.director.Registered(); !e.director.AgentsSettled(e.now()) {
 		e.introduce(registered)
 	}
 }
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -267,6 +267,10 @@
 // reported recently.
 func (d *Director) Reachable(now time.Duration) bool { return d.members.reachable(now) }
 
+// AgentsSettled reports whether the known state of the agents is complete enough to conclude
+// that there are no others.
+func (d *Director) AgentsSettled(now time.Duration) bool { return d.members.settled(now) }
+
 // Settled reports whether the known state of services and agents is complete enough
 // to conclude from a search that no agent holds a flow.
 func (d *Director) Settled(now time.Duration) bool { return d.settled(now) }
--- a/pkg/director/opening_test.go
+++ b/pkg/director/opening_test.go
@@ -184,3 +184,16 @@
 	is.NoErr(d.HandleCallerPacket(time.Second, open))
 	is.Equal(len(port.frames), 1)
 }
+
+// TestOpeningIsRefusedWhileHoldersAreIncomplete guards against openings without an agent that
+// wait for their timeout, as flows of other services may be unknown after a skipped version.
+func TestOpeningIsRefusedWhileHoldersAreIncomplete(t *testing.T) {
+	is := is.New(t)
+	port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
+	d := newBusySite(port, route.Share{Service: feedService, Weight: 1})
+	d.SetConfig(route.New(5, []route.Route{{VIP: vipAt(2), Shares: []route.Share{{Service: "archive", Weight: 1}}, Timeout: 2 * time.Second}}))
+	is.True(!d.HoldersComplete())
+	flow := feedFlow(route.Route{Shares: []route.Share{{Service: feedService, Weight: 1}}})
+	is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Open}, false)))
+	is.Equal(port.resets, 1)
+}
