--- a/internal/fleet/skipped_test.go
+++ b/internal/fleet/skipped_test.go
@@ -73,7 +73,7 @@
 // version for skipped versions, and so has no flow holders to offer to one that joins.
 func TestEntryAnswersAfterUnevenVersions(t *testing.T) {
 	is := is.New(t)
-	s := newTestSite(t, 99)
+	s := newTestSite(t, 70)
 	s.putConfig(1, vipText)
 	s.startPair()
 	for i, service := range []string{"exposeserver", "maklerlink"} {
@@ -89,7 +89,7 @@
 // holders in the store from before them.
 func TestEntryJoinsAfterTwoChanges(t *testing.T) {
 	is := is.New(t)
-	s := newTestSite(t, 100)
+	s := newTestSite(t, 71)
 	s.putConfig(7, vipText)
 	s.startPair()
 	time.Sleep(2100 * time.Millisecond) // the second entry is to be clearly younger
@@ -113,7 +113,7 @@
 // holders: the store has the changes since the record was written.
 func TestAllRestartAfterTwoChanges(t *testing.T) {
 	is := is.New(t)
-	s := newTestSite(t, 101)
+	s := newTestSite(t, 72)
 	s.putConfig(7, vipText)
 	stop := s.startPair()
 	stop()
@@ -130,7 +130,7 @@
 // version of which no record is left: all entries restart, and the store has lost its history.
 func TestOutdatedRecordProvesNothing(t *testing.T) {
 	is := is.New(t)
-	s := newTestSite(t, 102)
+	s := newTestSite(t, 73)
 	s.putConfig(7, vipText)
 	stop := s.startPair()
 	stop()
--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,6 +25,9 @@
 	// of a reset and the number that the caller acknowledged last at which the
 	// reset is accepted. The platform's callers use the same value.
 	resetWindow = 76800
+	// reopenShare is the share of requests after which a caller of a route that moves opens
+	// another flow: flows must be placed on each of its services.
+	reopenShare = 0.15
 )
 
 type (
@@ -78,13 +82,13 @@
 	})
 }
 
-// run sends requests on one flow until the context ends. It opens another flow
-// when that is reset or closed, or when a request is lost.
+// run sends requests on one flow until the context ends. It opens another flow when that is
+// reset or closed, when a request is lost and, if the route moves, after some requests.
 func (c *callers) run(ctx context.Context) error {
 	var f *callerFlow
 	for ctx.Err() == nil {
 		ok := true
-		if f != nil && (f.closed || c.wasReset(f)) {
+		if f != nil && (f.closed || c.wasReset(f) || c.site.moves && rand.Float64() < reopenShare) {
 			f = nil
 		}
 		if f == nil {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -87,7 +85,10 @@
 		// stops it.
 		startProcess func(role string, s *platform.Settings) (func() error, error)
 
-		evacuation evacuation
+		evacuation     evacuation
+		operatorConfig operatorConfig
+		// moves is set if the route moves between services during the run.
+		moves bool
 
 		mu        sync.Mutex
 		entries   []*entryHost
@@ -144,14 +145,7 @@
 			log.Error("store server ended", zap.Error(err))
 		}
 	}()
-	config, err := json.Marshal(map[string]any{"version": 1, "routes": []map[string]any{
-		{"name": service, "host": vip.Addr().String(), "prefix": fmt.Sprintf("/%d/", vip.Port()), "service": service},
-	}})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode configuration")
-	}
-	s.store.Set(platform.ConfigKey, config)
-	return s, nil
+	return s, s.setRoute(service, 1)
 }
 
 // reserveNetwork sets the network to the first one from the present one that is not in use.
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -49,6 +49,9 @@
 		// Evacuations requests the evacuation of a failure domain, with every second
 		// upstream, and withdraws it at random times.
 		Evacuations bool
+		// Moves moves the route to another service, that of every second upstream, and back in
+		// quick succession at random times. The version rises in uneven steps.
+		Moves bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -100,6 +103,7 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
+	s.moves = c.Moves
 	k := &soak{runner: *newRunner(c.Config, s), random: rand.New(rand.NewPCG(c.Seed, 1))}
 	s.startProcess = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
@@ -135,10 +139,19 @@
 
 // injectFaults starts random faults for the duration in c, some of which overlap,
 // and waits for their end.
-func (k *soak) injectFaults(ctx context.Context, c SoakConfig) error {
+func (k *soak) injectFaults(ctx context.Context, c SoakConfig) (err error) {
 	end := time.Now().Add(c.Duration)
 	var running sync.WaitGroup
-	defer running.Wait()
+	moved := make(chan error, 1)
+	defer func() {
+		running.Wait()
+		err = errors.Join(err, <-moved)
+	}()
+	if c.Moves {
+		go func() { moved <- k.moveRouteUntil(end, rand.New(rand.NewPCG(c.Seed, 4))) }()
+	} else {
+		moved <- nil
+	}
 	if c.StoreRestores {
 		running.Go(func() { k.restoreStoreUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
 	}
@@ -163,7 +176,6 @@
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	for time.Now().Before(end) {
 		time.Sleep(below(maxRestorePause))
-		config, _ := k.site.store.Get(platform.ConfigKey)
 		age := below(maxCopyAge)
 		name := fmt.Sprintf("the store comes back from a copy %s old", age)
 		k.printf("%s", name)
@@ -173,7 +185,7 @@
 		k.site.store.RestoreCopy(age)
 		k.site.store.SetFault(kvstandin.Healthy)
 		time.Sleep(below(operatorRepeat))
-		k.site.store.Set(platform.ConfigKey, config)
+		k.site.repeatConfig()
 		k.site.repeatEvacuation()
 	}
 }
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -57,6 +57,9 @@
 	settings := s.settings(s.host(byte(firstUpstream + n)))
 	if n%2 == 1 {
 		settings.FailureDomain = annexDomain
+		if s.moves {
+			settings.Service = otherService
+		}
 	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.UpstreamAddress))
 	if err != nil {
@@ -172,7 +175,7 @@
 	defer u.mu.Unlock()
 	u.heartbeats++
 	return fmt.Sprintf(`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
-		service, slots, state, u.heartbeats, u.born), !u.down
+		u.settings.Service, slots, state, u.heartbeats, u.born), !u.down
 }
 
 // crash drops the upstream's flows and starts it again, with the same id, after
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -28,6 +28,8 @@
   -store-restores  lets the store come back from an older copy every few seconds
   -evacuations   requests the evacuation of a failure domain, with every second
                  upstream, and withdraws it every few seconds
+  -moves         moves the route to another service, that of every second upstream,
+                 and back in quick succession every second or so
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
@@ -43,6 +45,7 @@
 	duration      time.Duration
 	storeRestores bool
 	evacuations   bool
+	moves         bool
 	callers       int
 	network       int
 	entries       int
@@ -57,6 +60,7 @@
 	flags.DurationVar(&r.duration, "for", 20*time.Second, "")
 	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
 	flags.BoolVar(&r.evacuations, "evacuations", false, "")
+	flags.BoolVar(&r.moves, "moves", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
@@ -96,7 +100,7 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, HTMLReport: page,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
