A flow may be longer than 16 MiB

Cause: if two upstreams answer an opening, the caller continues with one of them. An agent recognizes the packets of its own flow by the caller's acknowledgement, which had to lie within 16 MiB of the upstream's first sequence number. A packet of a longer flow was forwarded, no other agent took it, and the entry reset the flow as one without an owner.

Change: the acknowledgement has to lie within 8 MiB of the upstream's next sequence number, in either direction. The agent sees every packet that its upstream sends, so it knows that number; two upstreams are taken for the same as rarely as before, in 1 of 256 cases.

pkg/relay/testdata/long-flow.txt and long-flow-wraps.txt failed before.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -36,10 +36,11 @@
 	// table, so that its late packets still reach the upstream. A flow that was
 	// offered and not accepted stays as long.
 	closedRetention = 5 * time.Second
-	// maxAckOffset is how far an acknowledgement may lie from the upstream's
-	// first sequence number, in bytes: 16 MiB, 200 of the largest answers. The packets
-	// of a flow that exceeds it no longer match.
-	maxAckOffset = 16 << 20
+	// maxAckDistance is how far a caller's acknowledgement may lie from the upstream's next
+	// sequence number, in bytes: 8 MiB, 100 of the largest answers. It exceeds what a caller
+	// has not acknowledged yet, and late packets; two upstreams that answer one opening are
+	// taken for the same in 1 of 256 cases.
+	maxAckDistance = 8 << 20
 	// runningTimeout is how long a request without an answer counts as running: a safety
 	// bound for answers that never come, longer than callers usually wait.
 	runningTimeout = 10 * time.Second
@@ -153,20 +154,20 @@
 
 	// flowState is the relay's cached state of a flow at its upstream.
 	flowState struct {
-		phase         phase
-		firstKnown    bool               // firstSequence is set
-		firstSequence uint32             // the upstream's first sequence number
-		acknowledged  uint32             // the caller's last acknowledgement number or expected first, 0 if none
-		opening       *admission.Opening // nil if the relay has not offered the flow
-		openedBy      uint32             // sequence number of the caller's opening, if opening is set
-		running       bool               // a request has had no answer for at most runningTimeout
-		callerDone    bool               // the caller has sent Fin
-		upstreamDone  bool               // the upstream has sent Fin
-		entry         peer.Addr          // of the caller's last packet, zero if unknown
-		upstreamSeen  time.Duration      // when the upstream's last packet came
-		lastSeen      time.Duration      // when the last packet of either end came
-		callerSeen    time.Duration      // when the caller's last packet came
-		waitingSince  time.Duration      // when the unanswered request, or packet that added the flow, came
+		phase        phase
+		nextKnown    bool               // nextSequence is set
+		nextSequence uint32             // the upstream's next sequence number
+		acknowledged uint32             // the caller's last acknowledgement number or expected first, 0 if none
+		opening      *admission.Opening // nil if the relay has not offered the flow
+		openedBy     uint32             // sequence number of the caller's opening, if opening is set
+		running      bool               // a request has had no answer for at most runningTimeout
+		callerDone   bool               // the caller has sent Fin
+		upstreamDone bool               // the upstream has sent Fin
+		entry        peer.Addr          // of the caller's last packet, zero if unknown
+		upstreamSeen time.Duration      // when the upstream's last packet came
+		lastSeen     time.Duration      // when the last packet of either end came
+		callerSeen   time.Duration      // when the caller's last packet came
+		waitingSince time.Duration      // when the unanswered request, or packet that added the flow, came
 	}
 
 	// deliveryContext holds the fields of a frame whose packet was delivered to
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -25,6 +25,9 @@
 	vip   = netip.MustParseAddrPort("198.18.0.1:443")
 )
 
+// maxData is the largest number of bytes of data in a packet.
+const maxData = 1200
+
 // harness is the Port of a relay under test and records what the relay sends.
 type harness struct {
 	relay *relay.Relay
@@ -109,6 +112,7 @@
 //	        [second-entry]           an opening of caller N
 //	packet deliver|search N ACK BYTES [service NAME] [last]   a packet of caller N
 //	accept N SEQ | answer N BYTES | reset N                the upstream's packets
+//	stream N SEQ BYTES               the upstream's packets of many answers, not recorded
 //	owner-query N ACK                an entry asks which agent's upstream holds the
 //	                                 flow of caller N
 //	cold-limit N                     a cold upstream may be offered 1.5 * N + 1 openings a second
@@ -216,6 +220,8 @@
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Open|segment.Ack, uint32(number(words, 2)), 2, 0))
 	case "answer":
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Ack, 0, 0, number(words, 2)))
+	case "stream":
+		return r.stream(caller(number(words, 1)), uint32(number(words, 2)), number(words, 3))
 	case "reset":
 		return r.fromUpstream(encode(caller(number(words, 1)), true, segment.Reset, 0, 0, 0))
 	case "keep":
@@ -232,6 +238,19 @@
 	return nil
 }
 
+// stream lets the upstream send many bytes of a flow, from a sequence number on, without a
+// record of the packets that the relay forwards.
+func (r *harness) stream(f segment.Flow, seq uint32, bytes int) error {
+	out := r.out
+	for sent := 0; sent < bytes; sent += maxData {
+		if err := r.fromUpstream(encode(f, true, segment.Ack, seq+uint32(sent), 2, min(maxData, bytes-sent))); err != nil {
+			return err
+		}
+	}
+	r.out = out
+	return nil
+}
+
 func (r *harness) fromUpstream(packet []byte) error {
 	reportNow, err := r.relay.HandleUpstreamPacket(r.now, packet)
 	if reportNow {
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -8,14 +8,29 @@
 )
 
 // matches reports whether the packet belongs to the flow that this upstream
-// opened, by the distance of its acknowledgement from the upstream's first
+// opened, by the distance of its acknowledgement from the upstream's next
 // sequence number. It returns true if either number is unknown. If two upstreams
 // answered an opening, the caller continues with one of them only.
 func (s *flowState) matches(h segment.Header) bool {
-	if !s.firstKnown || !h.Has(segment.Ack) {
+	if !s.nextKnown || !h.Has(segment.Ack) {
 		return true
 	}
-	return h.Acknowledged-s.firstSequence <= maxAckOffset
+	distance := int32(h.Acknowledged - s.nextSequence)
+	return -maxAckDistance <= distance && distance <= maxAckDistance
+}
+
+// recordSequence advances the upstream's next sequence number by a packet that it sent. A
+// late packet of an earlier flow with the same addresses is ignored: its number is far from
+// the next one.
+func (s *flowState) recordSequence(h segment.Header) {
+	end := h.Sequence + uint32(h.Length)
+	if h.Has(segment.Open) {
+		s.nextSequence, s.nextKnown = end+1, true
+		return
+	}
+	if ahead := int32(end - s.nextSequence); s.nextKnown && !h.Has(segment.Reset) && 0 < ahead && ahead <= maxAckDistance {
+		s.nextSequence = end
+	}
 }
 
 // recordCallerPacket updates the state of a flow from a packet of its caller.
@@ -56,11 +71,9 @@
 		r.close(now, s) // the upstream has refused the flow
 		return false
 	}
-	if h.Has(segment.Open) {
-		s.firstSequence, s.firstKnown = h.Sequence, true
-		if s.acknowledged == 0 {
-			s.acknowledged = h.Sequence + 1 // the caller's first acknowledgement
-		}
+	s.recordSequence(h)
+	if h.Has(segment.Open) && s.acknowledged == 0 {
+		s.acknowledged = h.Sequence + 1 // the caller's first acknowledgement
 	}
 	if s.phase == offered {
 		s.phase = accepted
