A late heartbeat of a replaced upstream start is ignored

Cause: a heartbeat of any start other than the last one counted as that of its successor, and the flows of the last one were reset. Late heartbeats are recognized by the time of the start, which these upstreams do not send.

Change: an agent remembers the last 16 starts that were replaced, and ignores their heartbeats while the present one reports. Two upstreams cannot run at one address, so a replaced start has ended; if it was replaced by mistake, the present one falls silent, and 3 s later the other one is accepted again, as it was before for starts with an earlier time.

pkg/relay/testdata/late-heartbeat.txt failed before ("reset 1001" at the late heartbeat).

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -55,6 +55,9 @@
 	// as a new one: the instance's clock may have been set back. It exceeds
 	// three heartbeat intervals.
 	olderStartSilence = 3 * time.Second
+	// maxRecentStarts is the number of ended starts of the upstream whose delayed heartbeats
+	// are recognized: those of a minute if the upstream fails every few seconds.
+	maxRecentStarts = 16
 	// lateHeartbeat is how long after its deregistration a heartbeat of the same start of
 	// the upstream is ignored. An agent that was paused may handle the two calls in either
 	// order. An upstream that goes on after all is used again after that time.
@@ -117,6 +120,12 @@
 		ColdFor time.Duration
 	}
 
+	// recentStarts holds the last identifiers of starts that were added, 0 where there is none.
+	recentStarts struct {
+		ids  [maxRecentStarts]uint32
+		next int // index of the identifier that is replaced next
+	}
+
 	// Relay holds the state of one agent.
 	Relay struct {
 		self    peer.Addr
@@ -131,6 +140,7 @@
 		buf             []byte                        // for encoding, reused
 		upstream        Upstream
 		startID         uint32        // peer.StartID of the upstream, 0 if unknown
+		replaced        recentStarts  // starts of the upstream before that one
 		lastHeartbeatAt time.Duration // when the upstream's last heartbeat came
 		alive           bool          // the upstream runs, or is assumed to, and has not deregistered
 		ended           bool          // the upstream's process has ended, and with it all its flows
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -13,9 +13,9 @@
 // HandleHeartbeat records the state that the upstream reported. A heartbeat that
 // is not newer than the last one of the same start is ignored, unless its sequence
 // is 0, and so is a delayed one of an earlier start or of one that has deregistered, or one
-// of an upstream that already ran while the present one still reported, see foreign. The
-// first heartbeat of a new
-// start after a known one resets the flows of that one and puts the upstream on trial.
+// of an upstream that already ran while the present one still reported, see delayed and
+// foreign. The first heartbeat of a new start after a known one resets the flows of that one
+// and puts the upstream on trial.
 // HandleHeartbeat reports whether the agent should send its status to other
 // processes at once: if this is the first heartbeat of a start, or since the upstream
 // deregistered or ended, or if draining has begun or ended.
@@ -29,13 +29,12 @@
 		return false
 	case same && u.Born != 0 && r.deregistered && now-r.deregisteredAt <= lateHeartbeat:
 		return false
-	case !same && r.startID != 0 && u.Born < r.upstream.Born && now-r.lastHeartbeatAt <= olderStartSilence:
-		return false // a delayed heartbeat of an earlier start
-	case !same && r.foreign(now, u):
+	case !same && (r.delayed(now, u.Born, startID) || r.foreign(now, u)):
 		return false
 	}
 	r.lastHeartbeatAt = now
 	if !same && r.startID != 0 {
+		r.replaced.add(r.startID)
 		r.resetFlowsBefore(now, now-u.Age)
 		r.detector.recordRestart(now)
 	}
@@ -50,6 +49,17 @@
 	return changed
 }
 
+// delayed reports whether a heartbeat is of a start before the present one, which still
+// reports: by the time of the start, or, as upstreams need not send it, because the present one
+// or another has replaced that start. If the present one has been silent for
+// olderStartSilence, the heartbeat may be of an upstream that was replaced by mistake.
+func (r *Relay) delayed(now time.Duration, born int64, startID uint32) bool {
+	if r.startID == 0 || now-r.lastHeartbeatAt > olderStartSilence {
+		return false
+	}
+	return born < r.upstream.Born || r.replaced.contains(startID)
+}
+
 // foreign reports whether an upstream other than the present one is not its successor, but
 // reports to a wrong agent: the present one still reports, and has reported more than
 // foreignOverlap after the other one's start. Two upstreams can't run at one address.
@@ -231,3 +241,12 @@
 	defer r.mu.Unlock()
 	return len(r.flows), r.openFlows
 }
+
+// add adds the identifier of a start in the place of the oldest one.
+func (s *recentStarts) add(id uint32) {
+	s.ids[s.next] = id
+	s.next = (s.next + 1) % len(s.ids)
+}
+
+// contains reports whether the identifier is among the last ones that were added.
+func (s *recentStarts) contains(id uint32) bool { return slices.Contains(s.ids[:], id) }
