--- a/internal/fleet/stopping_test.go
+++ b/internal/fleet/stopping_test.go
@@ -102,15 +102,22 @@
 	is.NoErr(<-ended)
 }
 
-// TestOutdatedEntryKeepsRecord guards against an entry of rank 0 that was paused or cut off from
-// the store, and replaces a record of flow holders that covers newer versions than its own.
-func TestOutdatedEntryKeepsRecord(t *testing.T) {
-	is := is.New(t)
+// newCompleteConfigSync returns a configSync of an entry that knows the agents, none, and all
+// flow holders through version 1.
+func newCompleteConfigSync(t *testing.T) (*configSync, *kvstandin.Store) {
+	t.Helper()
 	p, standIn := newTestProcess(t, func(store http.Handler) http.Handler { return store })
 	d := director.New(p.self, p.codec, nil)
 	d.MergeHolders(nil, 1)
 	d.SetRegistered(0, nil)
-	c := newConfigSync(p, d, func() {}, func([]string) {})
+	return newConfigSync(p, d, func() {}, func([]string) {}), standIn
+}
+
+// TestOutdatedEntryKeepsRecord guards against an entry of rank 0 that was paused or cut off from
+// the store, and replaces a record of flow holders that covers newer versions than its own.
+func TestOutdatedEntryKeepsRecord(t *testing.T) {
+	is := is.New(t)
+	c, standIn := newCompleteConfigSync(t)
 	c.putInForce(route.New(1, nil), nil, "test", 0)
 	c.requestHoldersWrite()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -120,7 +127,7 @@
 	is.Equal(standIn.Calls()["kv-txn"], 0) // the configuration was not verified
 	found := false
 	for end := time.Now().Add(testWait); !found && time.Now().Before(end); time.Sleep(reportInterval) {
-		d.MarkVerified(p.now())
+		c.director.MarkVerified(c.now())
 		_, found = standIn.Get(holdersKey)
 	}
 	is.True(found)
@@ -133,13 +140,9 @@
 // an incomplete record a starting entry resets flows that upstreams hold.
 func TestNextEntryWritesHolders(t *testing.T) {
 	is := is.New(t)
-	p, standIn := newTestProcess(t, func(store http.Handler) http.Handler { return store })
-	d := director.New(p.self, p.codec, nil)
-	d.MergeHolders(nil, 1)
-	d.SetRegistered(0, nil)
-	c := newConfigSync(p, d, func() {}, func([]string) {})
+	c, standIn := newCompleteConfigSync(t)
 	first := peer.Addr{10, 0, 0, 1}
-	p.entries.recordHello(p.now(), first, peer.HelloMessage{Incarnation: 1})
+	c.entries.recordHello(c.now(), first, peer.HelloMessage{Incarnation: 1})
 	vip := netip.MustParseAddrPort("198.18.0.1:443")
 	c.putInForce(route.New(1, []route.Route{{VIP: vip, Shares: []route.Share{{Service: "maklerlink", Weight: 1}}}}), nil, "test", 0)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -150,7 +153,7 @@
 	_, found := standIn.Get(holdersKey)
 	is.True(!found) // while another entry has rank 0
 	for end := time.Now().Add(testWait); !found && time.Now().Before(end); time.Sleep(reportInterval) {
-		d.MarkVerified(p.now())            // as an entry does that reads the configuration each second
+		c.director.MarkVerified(c.now())   // as an entry does that reads the configuration each second
 		_, found = standIn.Get(holdersKey) // the first one has been silent for entryTimeout
 	}
 	is.True(found)
--- a/internal/fleetdemo/evacuation.go
+++ b/internal/fleetdemo/evacuation.go
@@ -86,9 +86,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(below(maxEvacuationPause))
 		length := below(maxEvacuation)
-		name := fmt.Sprintf("failure domain %s is evacuated for %s", annexDomain, length)
-		k.printf("%s", name)
-		k.timeline.addFault(name)
+		k.announceFault(fmt.Sprintf("failure domain %s is evacuated for %s", annexDomain, length))
 		k.site.requestEvacuation(true)
 		time.Sleep(length)
 		k.site.requestEvacuation(false)
--- a/internal/fleetdemo/moves.go
+++ b/internal/fleetdemo/moves.go
@@ -62,9 +62,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(below(maxMovePause))
 		gap := below(maxMoveGap)
-		name := fmt.Sprintf("the route moves to %s, and after %s back", otherService, gap)
-		k.printf("%s", name)
-		k.timeline.addFault(name)
+		k.announceFault(fmt.Sprintf("the route moves to %s, and after %s back", otherService, gap))
 		for _, to := range []string{otherService, service} {
 			if err := k.site.setRoute(to, 1+random.Uint64N(maxVersionStep)); err != nil {
 				return err
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -160,8 +160,7 @@
 	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
-		k.printf("%s", name)
-		k.timeline.addFault(name)
+		k.announceFault(name)
 		running.Go(f)
 		if err := sleep(ctx, k.randomDuration(maxFaultInterval)); err != nil {
 			return err
@@ -170,6 +169,12 @@
 	return nil
 }
 
+// announceFault prints a fault and adds it to the report.
+func (k *soak) announceFault(name string) {
+	k.printf("%s", name)
+	k.timeline.addFault(name)
+}
+
 // restoreStoreUntil lets the store come back from an older copy every few seconds. The operator
 // writes its configuration again each time.
 func (k *soak) restoreStoreUntil(end time.Time, random *rand.Rand) {
@@ -177,9 +182,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(below(maxRestorePause))
 		age := below(maxCopyAge)
-		name := fmt.Sprintf("the store comes back from a copy %s old", age)
-		k.printf("%s", name)
-		k.timeline.addFault(name)
+		k.announceFault(fmt.Sprintf("the store comes back from a copy %s old", age))
 		k.site.store.SetFault(kvstandin.ResetConnections)
 		time.Sleep(below(maxStoreAway))
 		k.site.store.RestoreCopy(age)
--- a/pkg/director/holders_test.go
+++ b/pkg/director/holders_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -29,36 +26,25 @@
 //	through 7               the version through which the record is complete
 //	holders a b             the services that may hold flows
 func TestHoldersScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/holders/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			is := is.New(t)
-			b, err := os.ReadFile(file)
-			is.NoErr(err)
-			p := holdersPlayer{is: is, d: director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil)}
-			p.d.SetRegistered(0, nil)
-			for line := range strings.Lines(string(b)) {
-				if fields := strings.Fields(line); len(fields) > 0 && fields[0] != "#" {
-					t.Log(strings.TrimSpace(line))
-					p.play(fields[0], fields[1:])
-				}
-			}
-		})
-	}
+	eachScript(t, "holders", func(t *testing.T) func(string, []string) {
+		p := holdersPlayer{t: t, d: director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil)}
+		p.d.SetRegistered(0, nil)
+		return p.play
+	})
 }
 
 // holdersPlayer plays one script.
 type holdersPlayer struct {
-	is  *is.I
+	t   *testing.T
 	d   *director.Director
 	now time.Duration
 }
 
-func (p *holdersPlayer) play(command string, args []string) {
-	p.is.Helper()
+func (p *holdersPlayer) play(line string, fields []string) {
+	p.t.Helper()
+	is := is.New(p.t)
+	command, args := fields[0], fields[1:]
+	p.t.Log(line)
 	switch command {
 	case "config":
 		previous := uint64(0)
@@ -80,20 +66,20 @@
 			p.d.Tick(p.now, 250*time.Millisecond)
 		}
 	case "complete", "incomplete":
-		p.is.Equal(p.d.HoldersComplete(), command == "complete")
-		p.is.Equal(p.d.Settled(max(p.now, time.Second)), command == "complete")
+		is.Equal(p.d.HoldersComplete(), command == "complete")
+		is.Equal(p.d.Settled(max(p.now, time.Second)), command == "complete")
 	case "through":
-		p.is.Equal(p.d.HoldersThrough(), p.number(args[0]))
+		is.Equal(p.d.HoldersThrough(), p.number(args[0]))
 	case "holders":
-		p.is.Equal(slices.Sorted(slices.Values(p.d.Holders()[vipAt(1)])), args)
+		is.Equal(slices.Sorted(slices.Values(p.d.Holders()[vipAt(1)])), args)
 	default:
-		p.is.Fail() // unknown command
+		p.t.Fatal("unknown command")
 	}
 }
 
 func (p *holdersPlayer) number(text string) uint64 {
-	p.is.Helper()
+	p.t.Helper()
 	n, err := strconv.ParseUint(text, 10, 64)
-	p.is.NoErr(err)
+	is.New(p.t).NoErr(err)
 	return n
 }
--- a/pkg/director/restart_test.go
+++ b/pkg/director/restart_test.go
@@ -31,7 +31,14 @@
 //	sent 1:a7 1:b3     the frames since the last such line: agent, flow, sequence number
 //	visits a 1 2       the agents that the search for flow a visits first, in any order
 func TestRestartScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/restart/*.txt")
+	eachScript(t, "restart", func(t *testing.T) func(line string, fields []string) { return newRestartPlayer(t).play })
+}
+
+// eachScript plays the scripts in a directory of testdata, each with a player of its own, which
+// gets the lines that are neither empty nor comments.
+func eachScript(t *testing.T, dir string, newPlayer func(*testing.T) (play func(line string, fields []string))) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("testdata", dir, "*.txt"))
 	if err != nil || len(files) == 0 {
 		t.Fatal("no scripts", err)
 	}
@@ -39,10 +46,10 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			b, err := os.ReadFile(file)
 			is.New(t).NoErr(err)
-			p := newRestartPlayer(t)
+			play := newPlayer(t)
 			for n, line := range strings.Split(string(b), "\n") {
 				if fields := strings.Fields(line); len(fields) > 0 && fields[0] != "#" {
-					p.play(fmt.Sprintf("line %d: %s", n+1, line), fields)
+					play(fmt.Sprintf("line %d: %s", n+1, line), fields)
 				}
 			}
 		})
