Read-through: events beside an unreadable configuration, records ahead

- Since reads no longer move the watch forward, an entry handled the same events again every 0.3 s if a request for an evacuation stood beside a configuration that cannot be decoded.
The evacuation is applied, the error logged, and the watch goes on (TestEvacuationBesideUnreadableConfiguration).
- A record from an entry that is ahead may name services of a VIP that has no route under a version that comes into force here later.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -145,6 +145,13 @@
 	if err != nil {
 		return err
 	}
+	return c.handleKeys(ctx, begin, keys)
+}
+
+// handleKeys is read for keys that were requested at the time begin. Also with an error, which
+// shows that the configuration is missing or cannot be decoded, it has applied the evacuated
+// failure domains.
+func (c *configSync) handleKeys(ctx context.Context, begin time.Duration, keys operatorKeys) error {
 	if changed := c.evacuations.handleRead(begin, keys); len(changed) > 0 {
 		c.onEvacuation(changed)
 	}
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -85,7 +85,7 @@
 		return err
 	}
 	if slices.ContainsFunc(events.Events, requestsEvacuation) {
-		if err := c.read(ctx); err != nil {
+		if err := c.readEvacuation(ctx); err != nil {
 			return err // the next watch returns the events again
 		}
 	}
@@ -94,6 +94,22 @@
 	return err
 }
 
+// readEvacuation is read, but returns an error only if the evacuated failure domains are not
+// known: that of a configuration that cannot be applied is logged.
+func (c *configSync) readEvacuation(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	begin := c.now()
+	keys, err := c.readOperatorKeys(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.handleKeys(ctx, begin, keys); err != nil {
+		c.log.Warn("configuration of the store not applied", daemon.Err(err))
+	}
+	return nil
+}
+
 // applyEvents applies the configurations of a watch in their order. version is that of the
 // configuration before them, 0 if unknown. It returns the version after them, 0 if unknown,
 // and an error if the last one cannot be decoded.
--- a/internal/fleet/operator_keys_test.go
+++ b/internal/fleet/operator_keys_test.go
@@ -113,6 +113,25 @@
 	is.Equal(store.Calls()["kv-key"], 0)
 }
 
+// TestEvacuationBesideUnreadableConfiguration guards against an entry that reads the same events
+// over and over, as the configuration beside a request for an evacuation cannot be decoded.
+func TestEvacuationBesideUnreadableConfiguration(t *testing.T) {
+	is := is.New(t)
+	store := kvstandin.New()
+	store.Set(platform.ConfigKey, []byte(`{"version":7}`))
+	c, _ := newTestConfigSync(t, store, nil)
+	c.eras = newEraSignal()
+	is.NoErr(c.watchOnce(context.Background()))
+	store.Set(platform.ConfigKey, []byte("not JSON"))
+	store.Set("op/evacuate/graz-nord", []byte("{}"))
+	is.True(c.watchOnce(context.Background()) != nil)
+	is.Equal(c.evacuations.message().Domains, []string{"graz-nord"})
+	store.Set(platform.ConfigKey, []byte(`{"version":9}`))
+	is.NoErr(c.watchOnce(context.Background()))
+	is.Equal(c.director.Config().Version(), uint64(9))
+	is.Equal(store.Calls()["kv-range"], 2)
+}
+
 // TestCompactedHistoryIsRead covers an evacuation that ends while this entry does not watch,
 // in a history that the store has compacted: no event tells of it.
 func TestCompactedHistoryIsRead(t *testing.T) {
--- a/pkg/director/history.go
+++ b/pkg/director/history.go
@@ -48,6 +48,14 @@
 		changed = changed || len(services) != len(old)
 		next[r.VIP] = services
 	})
+	if c.Version() < h.through {
+		// A record that was merged is ahead: later versions may have added VIPs again.
+		for vip, services := range h.byVIP {
+			if _, ok := next[vip]; !ok {
+				next[vip] = services
+			}
+		}
+	}
 	h.byVIP = next
 	h.version, h.previous = c.Version(), previous
 	h.follow(c.Version(), previous)
--- a/pkg/director/holders_test.go
+++ b/pkg/director/holders_test.go
@@ -20,6 +20,7 @@
 //
 //	config 7 a b            version 7, which it follows on is not known, names services a and b
 //	config 7 after 5 a      version 7, which followed on 5, names service a
+//	config 7 none           version 7 has no route for the VIP
 //	merge 7 a b             a record that is complete through 7 names services a and b
 //	at 60000                the time in milliseconds, with ticks until then
 //	complete, incomplete    whether a search may prove that no agent holds a flow
@@ -53,6 +54,10 @@
 		if services[0] == "after" {
 			previous, services = p.number(services[1]), services[2:]
 		}
+		if services[0] == "none" {
+			p.d.SetNextConfig(route.New(version, nil), previous)
+			return
+		}
 		var shares []route.Share
 		for _, s := range services {
 			shares = append(shares, route.Share{Service: s, Weight: 1})
