--- a/pkg/director/config_test.go
+++ b/pkg/director/config_test.go
@@ -11,6 +11,7 @@
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/route"
+	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
 
@@ -83,3 +84,33 @@
 	after.MergeHolders(before.Holders(), before.HoldersThrough())
 	is.Equal(after.Holders()[vipAt(3)], []string{"exposeserver", "maklerlink"})
 }
+
+// TestFlowWithoutRouteIsResetOnlyIfConfigurationIsCurrent guards against the reset of a flow whose
+// route a newer configuration has, which this entry has not received.
+func TestFlowWithoutRouteIsResetOnlyIfConfigurationIsCurrent(t *testing.T) {
+	is := is.New(t)
+	port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port)
+	d.SetConfig(route.New(7, nil))
+	packet := platform.EncodePacket(segment.Header{Flow: feedFlow(route.Route{Shares: []route.Share{{Service: feedService, Weight: 1}}}), Flags: segment.Ack, Acknowledged: 1001, Length: 50}, false)
+	for _, c := range []struct {
+		at     time.Duration
+		verify bool
+		resets int
+	}{
+		{10 * time.Second, false, 0},
+		{10 * time.Second, true, 1},
+		{11900 * time.Millisecond, false, 2},
+		{12100 * time.Millisecond, false, 2}, // verified too long ago
+		{13 * time.Second, true, 3},
+	} {
+		if c.verify {
+			d.MarkVerified(c.at)
+		}
+		is.NoErr(d.HandleCallerPacket(c.at, packet))
+		is.Equal(port.resets, c.resets)
+	}
+	d.MarkUnverified() // as when the store has come back from an older copy
+	is.NoErr(d.HandleCallerPacket(13*time.Second, packet))
+	is.Equal(port.resets, 3)
+}
