The soak's upstreams bounce requests of flows opened elsewhere

Trace: the route moves while copies of an opening are under way, so that two entries place them at upstreams of both services, and both accept. The caller goes on with one of them. The stand-in ran it.

The platform's upstreams do not: a flow opens at the one whose sequence number is acknowledged (PROTOCOL, Flows), and they bounce a packet of a flow that they do not hold. The stand-in follows this now; the check of the soak stays as it was.

--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -47,6 +47,9 @@
 	// heldFlow is the state of a flow at an upstream: its own initial and next
 	// sequence numbers, the next one of the caller, and the last response.
 	heldFlow struct {
+		// open is set once the caller has acknowledged isn. Until then the caller may go on
+		// with another upstream that has accepted the same opening.
+		open                  bool
 		isn, nextSeq, wantSeq uint32
 		last                  []byte
 	}
@@ -248,10 +251,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	f := u.flows[h.Flow]
+	owned := f != nil && (f.open || h.Acknowledged == f.isn+1)
 	switch {
 	case u.down:
 		return nil, nil
-	case u.failing && f != nil && h.Length > 0:
+	case u.failing && owned && h.Length > 0:
 		delete(u.flows, h.Flow)
 		return u.packet(h.Flow, segment.Reset, f.nextSeq, 0, 0), nil
 	case h.Opens() && f == nil:
@@ -262,10 +266,11 @@
 		fallthrough
 	case h.Opens():
 		return u.packet(h.Flow, segment.Open|segment.Ack, f.isn, f.wantSeq, 0), nil
-	case f == nil:
+	case !owned:
 		platform.MarkBounced(b)
 		return b, nil
 	case h.Length == 0:
+		f.open = true
 		return nil, nil
 	case h.Sequence != f.wantSeq:
 		return f.last, nil // a retransmitted request that was answered
@@ -273,6 +278,7 @@
 	if u.site.requests.recordRun(h.Flow, h.Sequence) {
 		u.site.log.Error("request ran again", zap.String("upstream", u.id), zap.Stringer("flow", h.Flow))
 	}
+	f.open = true
 	f.wantSeq += uint32(h.Length)
 	flags := segment.Ack
 	if u.isDraining() {
