--- a/pkg/director/snapshot_test.go
+++ b/pkg/director/snapshot_test.go
@@ -93,3 +93,19 @@
 	is.Equal(added, []director.FlowSnapshot{at(2, 6, false), at(3, 5, false)})
 	is.Equal(len(director.AddedFlows(added, added)), 0)
 }
+
+// TestRestoredFlowHasTheStartSavedLast guards against the reset of a living flow by an entry that
+// was restarted: the flow was first saved with the start of its upstream that the agent knew
+// before the first heartbeat of a new one, and then, among the added flows, with the new start.
+func TestRestoredFlowHasTheStartSavedLast(t *testing.T) {
+	is := is.New(t)
+	port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port)
+	agent := peer.Addr{10, 0, 0, 2}
+	saved := director.FlowSnapshot{Flow: segment.NewFlow(vipAt(1001), vipAt(1)), Owner: agent, Start: peer.StartID("u-1", 1), Acknowledged: 1001}
+	d.RestoreFlows(0, []director.FlowSnapshot{saved})
+	saved.Start = peer.StartID("u-1", 2)
+	d.RestoreFlows(0, []director.FlowSnapshot{saved})
+	d.HandleReport(time.Second, agent, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u-1", Born: 2, Taking: true, Slots: 2})
+	is.Equal(port.resets, 0)
+}
