Resets name their proof and the age of what it rests on

The log line of a reset had the flow and the version of the configuration. It could not tell whether an entry had reset a flow because the recorded start of its upstream was old, because the recorded owner was wrong, because the record was one from before its own start, or after a search.

Each reset of an entry now has proof, and a counter for each proof: upstream-gone has the agent, the recorded and the reported start, and whether the record was recalled; found-nobody has the agents visited, the coverage of the flow holders and the age of the oldest report; no-route has the time since the configuration was verified. owner-changed shows that a second agent has announced an open flow. An agent's line upstream has the start, so that the lines can be matched. No decision changes.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -306,7 +306,7 @@
 	}
 	if changed {
 		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
-			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor))
+			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", peer.StartID(h.ID, h.Born)))
 		a.report()
 	}
 	writeJSON(w, struct{}{})
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -21,7 +21,7 @@
 const (
 	// maxDecisionFields is the largest number of fields in the log line of a
 	// decision.
-	maxDecisionFields = 6
+	maxDecisionFields = 9
 )
 
 // Entry is a balancer process.
@@ -214,6 +214,19 @@
 	if d.Tried != 0 {
 		fields = append(fields, zap.Int("tried", d.Tried))
 	}
+	if d.Proof != "" {
+		e.metrics.increment("reset-by-proof-" + string(d.Proof))
+		fields = append(fields, zap.String("proof", string(d.Proof)))
+	}
+	if d.Previous != (peer.Addr{}) {
+		fields = append(fields, zap.Stringer("previous-agent", d.Previous))
+	}
+	if d.Start != 0 || d.Reported != 0 {
+		fields = append(fields, zap.Uint32("start", d.Start), zap.Uint32("reported-start", d.Reported), zap.Bool("recalled", d.Restored))
+	}
+	if d.Through != 0 {
+		fields = append(fields, zap.Uint64("through", d.Through))
+	}
 	if d.Link.Refused {
 		fields = append(fields, zap.Duration("link-needs-ms", d.Link.Delay), zap.Int("expected-bytes", d.Link.Expected))
 	}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -74,8 +74,11 @@
 		d.port.RecordLatency(Searching, now-rec.searchedAt)
 		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
 	}
+	if rec.open && (rec.owner != from || rec.startID != o.Start) {
+		d.port.RecordDecision(Decision{Event: OwnerChanged, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start, Restored: rec.restored})
+	}
 	rec.owner, rec.startID, rec.open, rec.searching = from, o.Start, true, false
-	rec.stages, rec.gone, rec.ownedAt = nil, nil, now
+	rec.stages, rec.gone, rec.ownedAt, rec.restored = nil, nil, now, false
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -161,9 +164,13 @@
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
 		return
 	}
+	visited := 0
+	for _, stage := range rec.stages {
+		visited += len(stage.agents)
+	}
 	d.forget(s, h.Flow)
 	if !h.Has(segment.Reset) {
-		d.reset(OwnerNotFound, h, 0)
+		d.reset(h, Decision{Event: OwnerNotFound, Proof: CompleteSearch, Tried: visited, Through: d.history.coverage(), Age: d.members.oldestReport(now)})
 	}
 }
 
@@ -208,7 +215,7 @@
 				rec.startID = 0
 				continue
 			}
-			d.markGone(now, s, flow, rec)
+			d.markGone(now, s, flow, rec, start)
 		}
 	})
 }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -100,6 +100,9 @@
 	OwnerUncertain Event = "found-nobody-uncertain"
 	// OwnerFound means that a search has found the owner of a flow.
 	OwnerFound Event = "found"
+	// OwnerChanged means that another agent than the recorded owner has announced an open
+	// flow, or the same one with another start of its upstream.
+	OwnerChanged Event = "owner-changed"
 	// UpstreamGone means that a flow was reset because the upstream that held it
 	// has restarted or ended.
 	UpstreamGone Event = "upstream-gone"
@@ -111,6 +114,22 @@
 	LinkFull Event = "link-full"
 )
 
+// The proofs of resets.
+const (
+	// OtherStart means that the recorded owner has reported another start of its upstream
+	// than the one that accepted the flow.
+	OtherStart Proof = "other-start"
+	// NoUpstreamRuns means that the recorded owner has reported that no upstream runs.
+	NoUpstreamRuns Proof = "no-upstream-runs"
+	// CompleteSearch means that none of the agents that may hold the flow does.
+	CompleteSearch Proof = "complete-search"
+	// NotRouted means that a current configuration has no route for the flow.
+	NotRouted Proof = "not-routed"
+	// NotOpen means that the flow was not open: no agent has accepted its opening, or it was
+	// offered to none.
+	NotOpen Proof = "not-open"
+)
+
 // The latencies that a director records.
 const (
 	// Opening is the time from the last Placed or PlacedAgain of a flow until the
@@ -151,6 +170,9 @@
 	// Event is the kind of a decision.
 	Event string
 
+	// Proof is the kind of evidence for a reset.
+	Proof string
+
 	// Measure is the name of a latency.
 	Measure string
 
@@ -177,6 +199,23 @@
 		Tried int
 		// Link is what LinkFull was based on.
 		Link capacity.Verdict
+		// Proof is what a reset rests on, empty for other decisions. Age is then the age of
+		// that: of the announcement or the restored record for OtherStart and NoUpstreamRuns,
+		// of the last verification of the configuration for NotRouted, and of the oldest
+		// report of an agent for the others.
+		Proof Proof
+		// Start is the start of the upstream that the flow was recorded with, and Reported
+		// the one that its agent has reported since, 0 if none runs. Both are set for
+		// OtherStart, NoUpstreamRuns and OwnerChanged.
+		Start, Reported uint32
+		// Previous is the recorded owner, for OwnerChanged.
+		Previous peer.Addr
+		// Restored means that the record of the flow was restored by RestoreFlows and not
+		// confirmed by its agent since.
+		Restored bool
+		// Through is the version of the configuration through which the flow holders are
+		// complete, for CompleteSearch.
+		Through uint64
 	}
 
 	// Director holds the routing state of one entry.
@@ -222,6 +261,7 @@
 		lastSeen     time.Duration // time of the last packet or Owned message
 		waitingPlace waitingPlace  // of an opening that was returned
 		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
+		restored     bool          // by RestoreFlows; the owner has not announced the flow since
 		created      time.Duration // when the flow was last placed, else when the record was added
 		openingAt    time.Duration // when the caller sent the opening that was placed
 		copies       uint32        // number of the last copy of that opening
@@ -408,7 +448,8 @@
 	if rec != nil {
 		event = RouteDropped
 	}
-	d.reset(event, h, 0)
+	verified, _ := d.VerifiedAgo(now)
+	d.reset(h, Decision{Event: event, Proof: NotRouted, Age: verified})
 }
 
 // ConfigCurrent reports whether the configuration was verified within maxConfigAge.
@@ -471,15 +512,16 @@
 	return d.history.complete() && d.members.settled(now)
 }
 
-// reset sends a reset to the caller of a flow and records the event. The sequence
-// number of the reset is h.Acknowledged; tried is for Decision.Tried.
-func (d *Director) reset(event Event, h segment.Header, tried int) {
+// reset sends a reset to the caller of a flow and records the decision, to which it adds the
+// flow and the version of the configuration. The sequence number of the reset is
+// h.Acknowledged.
+func (d *Director) reset(h segment.Header, why Decision) {
 	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
-	version := uint64(0)
+	why.Flow = h.Flow
 	if c := d.config.Load(); c != nil {
-		version = c.Version()
+		why.Version = c.Version()
 	}
-	d.port.RecordDecision(Decision{Event: event, Flow: h.Flow, Version: version, Tried: tried})
+	d.port.RecordDecision(why)
 }
 
 // send sends a frame, which it encodes in the buffer of the locked shard.
--- a/pkg/director/gone.go
+++ b/pkg/director/gone.go
@@ -20,24 +20,33 @@
 // goneFlow is the state of a flow whose upstream has restarted or ended. It stays in the
 // cache for the idle timeout, so that a packet of it is reset without a search.
 type goneFlow struct {
-	repeats  int // left
+	why      Decision // of the resets
+	repeats  int      // left
 	repeatAt time.Duration
 	delay    time.Duration // from repeatAt to the repetition after it
 }
 
 // markGone records that the upstream that held a flow has restarted or ended, and resets the
-// flow. A caller ignores a reset whose sequence number it does not expect: a flow without a
+// flow. reported is the start of the upstream that its agent has reported, 0 if none runs. A
+// caller ignores a reset whose sequence number it does not expect: a flow without a
 // known acknowledgement is reset at its next packet.
-func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord) {
+func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord, reported uint32) {
+	why := Decision{
+		Event: UpstreamGone, Proof: OtherStart, Agent: rec.owner, Start: rec.startID, Reported: reported,
+		Restored: rec.restored, Age: now - max(rec.ownedAt, rec.created),
+	}
+	if reported == 0 {
+		why.Proof = NoUpstreamRuns
+	}
 	rec.owner, rec.startID, rec.open, rec.searching, rec.lastSeen = peer.Addr{}, 0, false, false, now
-	rec.gone = &goneFlow{}
+	rec.gone = &goneFlow{why: why}
 	if d.link != nil {
 		d.link.Ended(&rec.link)
 	}
 	if rec.acknowledged != 0 {
-		rec.gone = &goneFlow{repeats: resetRepeats, repeatAt: now + resetRepeatDelay, delay: 2 * resetRepeatDelay}
+		rec.gone = &goneFlow{why: why, repeats: resetRepeats, repeatAt: now + resetRepeatDelay, delay: 2 * resetRepeatDelay}
 		s.resets = append(s.resets, flow)
-		d.reset(UpstreamGone, segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, 0)
+		d.reset(segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, why)
 	}
 }
 
@@ -45,7 +54,7 @@
 func (d *Director) resetGone(rec *flowRecord, h segment.Header) {
 	rec.gone.repeats = 0
 	if !h.Has(segment.Reset) {
-		d.reset(UpstreamGone, h, 0)
+		d.reset(h, rec.gone.why)
 	}
 }
 
--- a/pkg/director/link.go
+++ b/pkg/director/link.go
@@ -27,7 +27,7 @@
 	}
 	d.link.Received(now, nil, r.VIP, size, 0)
 	d.port.ToCaller(h.Flow, d.codec.Reset(h.Flow, h.Acknowledged))
-	d.port.RecordDecision(Decision{Event: LinkFull, Flow: h.Flow, Version: d.config.Load().Version(), Link: verdict})
+	d.port.RecordDecision(Decision{Event: LinkFull, Proof: NotOpen, Flow: h.Flow, Version: d.config.Load().Version(), Link: verdict})
 	return true
 }
 
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -255,6 +255,19 @@
 	return true
 }
 
+// oldestReport returns the age of the oldest last report of a known agent that may hold flows.
+func (m *members) oldestReport(now time.Duration) time.Duration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	oldest := time.Duration(0)
+	for _, a := range m.agents {
+		if !a.status.Empty {
+			oldest = max(oldest, now-a.reportedAt)
+		}
+	}
+	return oldest
+}
+
 // markDelayed records that this process is late in reading its datagrams.
 func (m *members) markDelayed(now time.Duration) {
 	m.mu.Lock()
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -97,7 +97,7 @@
 	name, ok := r.Pick(h.Flow.Hash())
 	service := peer.Service(name)
 	if !ok {
-		d.reset(NotAccepted, h, 0)
+		d.reset(h, Decision{Event: NotAccepted, Proof: NotOpen})
 		return
 	}
 	list, load, age := d.members.openingCandidates(now, service, h.Flow.Hash())
@@ -151,7 +151,7 @@
 		d.port.RecordDecision(Decision{Event: NotAcceptedHere, Flow: h.Flow, Tried: len(f.Candidates)})
 		return
 	}
-	d.reset(NotAccepted, h, len(f.Candidates))
+	d.reset(h, Decision{Event: NotAccepted, Proof: NotOpen, Tried: len(f.Candidates), Age: d.members.oldestReport(now)})
 }
 
 // mayBeAccepted reports whether an upstream may have accepted the flow: its agent has
@@ -230,5 +230,5 @@
 	if d.members.anyEvacuated(now, service) {
 		event = Evacuated
 	}
-	d.reset(event, h, 0)
+	d.reset(h, Decision{Event: event, Proof: NotOpen, Age: d.members.oldestReport(now)})
 }
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -145,7 +145,7 @@
 	defer s.mu.Unlock()
 	if s.flows[r.Flow] == nil {
 		s.flows[r.Flow] = &flowRecord{
-			owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
+			owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now, restored: true,
 		}
 	}
 }
