--- a/pkg/director/gone_test.go
+++ b/pkg/director/gone_test.go
@@ -95,3 +95,31 @@
 	s.tickUntil(4 * time.Second)
 	is.Equal(s.resets, 1) // only the one of the flow before
 }
+
+// TestFlowOpenAtAnotherUpstreamIsNotReset guards against the reset of a living flow: copies of
+// one opening were accepted by two upstreams, the entry has recorded the one with which the
+// caller did not go on, and that one restarts or ends.
+func TestFlowOpenAtAnotherUpstreamIsNotReset(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status peer.Status // of the recorded agent, some seconds later
+	}{
+		{"restarts", peer.Status{Upstream: "u", Born: 6, Taking: true, Slots: 2}},
+		{"ends", peer.Status{Upstream: "u", Born: 5, Empty: true, Slots: 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLateSite(t)
+			owner := s.place.Candidates[0]
+			is.NoErr(s.HandleAgentDatagram(time.Second, owner, peer.OwnerMessage{Kind: peer.Owned, Flow: s.flow, Start: peer.StartID("u", 5)}.Append(nil)))
+			s.send(t, segment.Ack) // acknowledges what the other upstream has sent
+			c.status.Incarnation, c.status.Sequence, c.status.Service = 1, 2, "maklerlink"
+			s.HandleReport(5*time.Second, owner, c.status)
+			is.Equal(s.port.resets, 0)
+			s.port.frames = nil
+			s.send(t, segment.Ack)
+			is.Equal(s.port.resets, 0)
+			is.Equal(len(s.port.frames), 1) // goes on to an agent, so that a search can follow
+		})
+	}
+}
