An agent resets only flows that were open at the ended start

Callers whose upstream restarts quickly and sends no time of its start: flows that were opened at the new start before its first heartbeat were reset by the agent, although the upstream held them.

Cause: without the age of the new start, all flows were taken for those of the ended one. That the agent knew only one start proves nothing about flows that were opened after its last heartbeat.

A flow is one of the ended start if that has sent a heartbeat after the flow was opened; the others stay, and the upstream returns the packets of those that it does not hold. Where upstreams send the time of their start, it decides as before.

Announcements and reports also carry what an entry needs for the same decision: the upstream's next sequence number and the number of the last heartbeat.

--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -65,8 +65,14 @@
 	flagUncertain = 1
 	flagForced    = 2
 
-	// flagWaiting is a flag of an OwnerMessage.
-	flagWaiting = 1
+	// The flags of an OwnerMessage.
+	flagWaiting   = 1
+	flagSequence  = 2
+	flagHeartbeat = 4
+
+	// ownerSize is the size of an OwnerMessage in bytes without its last two fields, which
+	// messages of builds up to 4332ead lack.
+	ownerSize = 20
 )
 
 // ErrInvalidFrame reports a datagram that is not a valid frame or message, or is of a
@@ -222,6 +228,15 @@
 	// Waiting means that the upstream does not hold the flow yet: its opening waits at
 	// the agent. Only in Owned.
 	Waiting bool
+	// Sequence is the sequence number of the byte that the upstream sends next. The flow is
+	// open at this upstream if the caller acknowledges numbers near it. Only in Owned, and if
+	// SequenceKnown is set.
+	Sequence      uint32
+	SequenceKnown bool
+	// Heartbeat is the number of a heartbeat of Start after which the flow was opened, see
+	// Status.Heartbeat, cut off to 32 bits. Only in Owned, and if HeartbeatKnown is set.
+	Heartbeat      uint32
+	HeartbeatKnown bool
 	// Acknowledged is the caller's last acknowledgement number, 0 if unknown. It
 	// tells apart two upstreams that both accepted the caller's opening. Only in
 	// OwnerQuery.
@@ -239,19 +254,30 @@
 
 // Append appends the encoded datagram to b.
 //
-// Layout: magic, kind, flags, zero, Start or Acknowledged by kind (4), flow (12).
+// Layout: magic, kind, flags, zero, Start or Acknowledged by kind (4), flow (12), and in Owned
+// Sequence (4) and Heartbeat (4).
 func (o OwnerMessage) Append(b []byte) []byte {
 	var flags byte
 	if o.Waiting {
 		flags |= flagWaiting
 	}
+	if o.SequenceKnown {
+		flags |= flagSequence
+	}
+	if o.HeartbeatKnown {
+		flags |= flagHeartbeat
+	}
 	b = append(b, magic, byte(o.Kind), flags, 0)
 	number := o.Start
 	if o.Kind == OwnerQuery {
 		number = o.Acknowledged
 	}
-	b = binary.BigEndian.AppendUint32(b, number)
-	return o.Flow.Append(b)
+	b = o.Flow.Append(binary.BigEndian.AppendUint32(b, number))
+	if o.Kind == OwnerQuery {
+		return b
+	}
+	b = binary.BigEndian.AppendUint32(b, o.Sequence)
+	return binary.BigEndian.AppendUint32(b, o.Heartbeat)
 }
 
 // Decode decodes an Owned or an OwnerQuery datagram. It returns ErrInvalidFrame for
@@ -262,6 +288,11 @@
 	}
 	o.Kind = Kind(b[1])
 	o.Waiting = b[2]&flagWaiting != 0
+	o.Sequence, o.SequenceKnown, o.Heartbeat, o.HeartbeatKnown = 0, false, 0, false
+	if o.Kind == Owned && len(b) >= ownerSize+8 {
+		o.Sequence, o.SequenceKnown = binary.BigEndian.Uint32(b[ownerSize:]), b[2]&flagSequence != 0
+		o.Heartbeat, o.HeartbeatKnown = binary.BigEndian.Uint32(b[ownerSize+4:]), b[2]&flagHeartbeat != 0
+	}
 	o.Start, o.Acknowledged = binary.BigEndian.Uint32(b[4:]), 0
 	if o.Kind == OwnerQuery {
 		o.Start, o.Acknowledged = 0, o.Start
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -21,6 +21,10 @@
 		Upstream string `cbor:"4,keyasint,omitempty"`
 		// Born is the upstream's start time in Unix milliseconds, 0 if unknown.
 		Born int64 `cbor:"5,keyasint,omitempty"`
+		// Heartbeat is the number of the last heartbeat of that start, see
+		// relay.Upstream; 0 if unknown. A number above that of an OwnerMessage shows that
+		// the start of the message has sent a heartbeat after the flow was opened.
+		Heartbeat uint64 `cbor:"15,keyasint,omitempty"`
 		// Taking means that the upstream accepts new flows.
 		Taking bool `cbor:"6,keyasint,omitempty"`
 		// Empty means that no upstream runs beside the agent, so that it holds no
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -55,6 +55,9 @@
 	waiting := peer.OwnerMessage{Kind: peer.Owned, Flow: segment.Flow{}, Waiting: true}
 	is.NoErr(back.Decode(waiting.Append(nil)))
 	is.Equal(back, waiting)
+	proven := peer.OwnerMessage{Kind: peer.Owned, Start: 7, Sequence: 1001, SequenceKnown: true, Heartbeat: 3, HeartbeatKnown: true}
+	is.NoErr(back.Decode(proven.Append(nil)))
+	is.Equal(back, proven)
 	is.True(peer.StartID("i-1", 5) != peer.StartID("i-1", 6)) // same id, other start time
 }
 
--- a/pkg/relay/lifetimes_test.go
+++ b/pkg/relay/lifetimes_test.go
@@ -90,6 +90,7 @@
 					is.Equal(statusWithoutFlows(r), want)
 					r.now += lifetimeHeartbeat
 					last.Sequence++
+					want.Heartbeat = last.Sequence
 					r.relay.HandleHeartbeat(r.now, last)
 				}
 				if out := r.take(); strings.Contains(out, "reset") {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -142,6 +142,7 @@
 		startID         uint32        // peer.StartID of the upstream, 0 if unknown
 		replaced        recentStarts  // starts of the upstream before that one
 		lastHeartbeatAt time.Duration // when the upstream's last heartbeat came
+		heartbeats      uint64        // number of heartbeats that were accepted
 		alive           bool          // the upstream runs, or is assumed to, and has not deregistered
 		ended           bool          // the upstream's process has ended, and with it all its flows
 		deregisteredAt  time.Duration
@@ -174,6 +175,9 @@
 		callerDone   bool               // the caller has sent Fin
 		upstreamDone bool               // the upstream has sent Fin
 		entry        peer.Addr          // of the caller's last packet, zero if unknown
+		heartbeats   uint64             // Relay.heartbeats when the upstream's first packet came
+		start        uint32             // Relay.startID at that time
+		lastSequence uint64             // number of the last heartbeat at that time
 		upstreamSeen time.Duration      // when the upstream's last packet came
 		lastSeen     time.Duration      // when the last packet of either end came
 		callerSeen   time.Duration      // when the caller's last packet came
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -33,8 +33,9 @@
 	relay *relay.Relay
 	now   time.Duration
 	out   []string
-	last  []byte // the last packet delivered to the upstream
-	kept  []byte // the packet that "keep" has kept
+	last  []byte            // the last packet delivered to the upstream
+	kept  []byte            // the packet that "keep" has kept
+	owned peer.OwnerMessage // the last announcement
 }
 
 func (r *harness) ToUpstream(packet []byte) {
@@ -64,6 +65,7 @@
 		if err := o.Decode(datagram); err != nil {
 			panic(err)
 		}
+		r.owned = o
 		if o.Waiting {
 			r.out = append(r.out, fmt.Sprintf("waiting %d %s", o.Flow.Caller().Port(), to))
 			return
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -28,7 +28,16 @@
 		s.nextSequence, s.nextKnown = end+1, true
 		return
 	}
-	if ahead := int32(end - s.nextSequence); s.nextKnown && !h.Has(segment.Reset) && 0 < ahead && ahead <= maxAckDistance {
+	if h.Has(segment.Reset) {
+		return
+	}
+	if !s.nextKnown && s.acknowledged != 0 {
+		// The agent was restarted after the flow was opened.
+		behind := int32(h.Sequence - s.acknowledged)
+		s.nextSequence, s.nextKnown = end, -maxAckDistance <= behind && behind <= maxAckDistance
+		return
+	}
+	if ahead := int32(end - s.nextSequence); s.nextKnown && 0 < ahead && ahead <= maxAckDistance {
 		s.nextSequence = end
 	}
 }
@@ -66,6 +75,9 @@
 		r.flows[h.Flow] = s
 		r.openFlows++
 	}
+	if s.upstreamSeen == 0 {
+		s.heartbeats, s.start, s.lastSequence = r.heartbeats, r.startID, r.upstream.Sequence
+	}
 	s.lastSeen, s.upstreamSeen = now, now
 	if s.phase == offered && s.opening != nil && h.Has(segment.Reset) {
 		r.close(now, s) // the upstream has refused the flow
@@ -97,13 +109,20 @@
 	return failed
 }
 
-// announce sends an Owned message for the flow, with the start id of the upstream,
-// to the entry. It does nothing if the entry is not known.
+// announce sends an Owned message for the flow to the entry, with what shows that the flow is
+// open at the present start of this upstream. It does nothing if the entry is not known.
 func (r *Relay) announce(flow segment.Flow, s *flowState, entry peer.Addr) {
 	if entry == (peer.Addr{}) {
 		return
 	}
-	r.buf = peer.OwnerMessage{Kind: peer.Owned, Flow: flow, Start: r.startID}.Append(r.buf[:0])
+	heartbeat := r.upstream.Sequence
+	if s.start == r.startID {
+		heartbeat = s.lastSequence
+	}
+	r.buf = peer.OwnerMessage{
+		Kind: peer.Owned, Flow: flow, Start: r.startID, Sequence: s.nextSequence, SequenceKnown: s.nextKnown,
+		Heartbeat: uint32(heartbeat), HeartbeatKnown: r.startID != 0,
+	}.Append(r.buf[:0])
 	r.port.ToProcess(entry, r.buf)
 }
 
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -14,8 +13,8 @@
 // is not newer than the last one of the same start is ignored, unless its sequence
 // is 0, and so is a delayed one of an earlier start or of one that has deregistered, or one
 // of an upstream that already ran while the present one still reported, see delayed and
-// foreign. The first heartbeat of a new start after a known one resets the flows of that one
-// and puts the upstream on trial.
+// foreign. The first heartbeat of a new start after a known one resets the flows of that one,
+// see resetEndedStart, and puts the upstream on trial.
 // HandleHeartbeat reports whether the agent should send its status to other
 // processes at once: if this is the first heartbeat of a start, or since the upstream
 // deregistered or ended, or if draining has begun or ended.
@@ -32,12 +31,13 @@
 	case !same && (r.delayed(now, u.Born, startID) || r.foreign(now, u)):
 		return false
 	}
-	r.lastHeartbeatAt = now
 	if !same && r.startID != 0 {
 		r.replaced.add(r.startID)
-		r.resetFlowsBefore(now, now-u.Age)
+		r.resetEndedStart(now, u.Age)
 		r.detector.recordRestart(now)
 	}
+	r.lastHeartbeatAt = now
+	r.heartbeats++
 	r.recordWarmUp(now, u, !same && r.startID != 0)
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.startID = u, startID
@@ -192,6 +192,7 @@
 	return peer.Status{
 		Upstream:    r.upstream.ID,
 		Born:        r.upstream.Born,
+		Heartbeat:   r.upstream.Sequence,
 		Taking:      r.acceptsFlows(),
 		Empty:       r.ended,
 		Failing:     r.detector.isEjected(now),
@@ -204,7 +205,24 @@
 }
 
 // resetAll resets all flows, as the upstream's process has ended.
-func (r *Relay) resetAll(now time.Duration) { r.resetFlowsBefore(now, math.MaxInt64) }
+func (r *Relay) resetAll(now time.Duration) {
+	r.resetFlows(now, func(*flowState) bool { return true })
+}
+
+// resetEndedStart resets the flows of the start that has sent the last heartbeat, as another one
+// has begun age ago. A flow is one of the ended start if the upstream has sent no packet of it
+// since then. If the age is unknown, 0, it is one of the ended start if that has sent a heartbeat
+// after the flow was opened. The others may have been opened at the new start, before its first
+// heartbeat: they stay in the table, and the upstream bounces the packets of those that it does
+// not hold.
+func (r *Relay) resetEndedStart(now, age time.Duration) {
+	r.resetFlows(now, func(s *flowState) bool {
+		if age > 0 {
+			return s.upstreamSeen <= now-age
+		}
+		return s.heartbeats < r.heartbeats
+	})
+}
 
 // announceAll announces all open flows, with the upstream's start id, to their
 // entries. A new start may have accepted flows before its first heartbeat, which
@@ -217,14 +235,13 @@
 	}
 }
 
-// resetFlowsBefore removes the flows of the upstream's last start: those of which
-// the upstream has sent no packet after started, when its new start began. For the
-// open ones it sends a reset to the caller.
-func (r *Relay) resetFlowsBefore(now, started time.Duration) {
+// resetFlows removes the flows that have ended with the upstream's process. For the open ones
+// it sends a reset to the caller.
+func (r *Relay) resetFlows(now time.Duration, ended func(*flowState) bool) {
 	// The sorted order makes simulated runs repeatable.
 	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
 		s := r.flows[flow]
-		if s.upstreamSeen > started {
+		if !ended(s) {
 			continue
 		}
 		if s.phase == accepted {
