Entries reset a flow only if it was open at the start that has ended

Cause: an entry took the recorded owner and start for the ones that hold the flow. Copies of an opening are accepted by two upstreams, mostly by way of an entry that reads its packets late; the caller goes on with one, and the entry records the other one, if that one's announcement comes last. When the recorded one restarts or ends, the flow is reset. The record may have been saved, too, and restored after a restart of the entry, long after the cached one was corrected.

An announcement proves only that an upstream has accepted an opening. A flow is now reset, saved and restored as gone only if the caller has acknowledged what the recorded upstream has sent, and the recorded start has sent a heartbeat after the flow was opened. That also replaces the time within which the start of an announced flow was taken for unknown: it was shorter than the interval of the heartbeats. Otherwise the flow keeps its owner, and the packet that this one returns starts a search. Records of a flow that was restored give way to later ones; those of builds without the proof prove nothing. A packet is answered with the reset of a flow that is gone only if it is of that flow.

--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -33,6 +33,10 @@
 	// all failure domains together may use.
 	flowsWriteShare = 1.0 / 200
 
+	// provenFlowsTag is the CBOR tag of flows that are proven, see director.FlowSnapshot. Builds
+	// up to 4332ead save flows without it, and ignore it.
+	provenFlowsTag = 0x68666c77
+
 	// callerRecordBytes is the size of one flow in a group: the caller's address
 	// and port, and the sequence number that the caller acknowledged last.
 	callerRecordBytes = 10
@@ -202,11 +206,14 @@
 	return item.Value, err
 }
 
-// encodeFlows groups flows by VIP, owner, service and start of the upstream, and
-// encodes the groups.
+// encodeFlows groups the proven ones of flows by VIP, owner, service and start of the upstream,
+// and encodes the groups.
 func encodeFlows(flows []director.FlowSnapshot) ([]byte, error) {
 	var groups []*flowGroup
 	for _, f := range flows {
+		if !f.Proven {
+			continue
+		}
 		vip := f.Flow.VIP()
 		i := slices.IndexFunc(groups, func(g *flowGroup) bool {
 			return g.VIP == vip && g.Owner == f.Owner && g.Service == f.Service && g.Start == f.Start
@@ -221,7 +228,7 @@
 		b = binary.BigEndian.AppendUint16(b, caller.Port())
 		groups[i].Callers = binary.BigEndian.AppendUint32(b, f.Acknowledged)
 	}
-	value, err := cbor.Marshal(groups)
+	value, err := cbor.Marshal(cbor.Tag{Number: provenFlowsTag, Content: groups})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode flows")
 	}
@@ -234,8 +241,10 @@
 	if len(value) > maxSavedFlowsBytes {
 		return nil, errors.Errorf("decode flows: %d bytes", len(value))
 	}
+	var tag cbor.RawTag
+	proven := cbor.Unmarshal(value, &tag) == nil && tag.Number == provenFlowsTag
 	var groups []flowGroup
-	if err := cbor.Unmarshal(value, &groups); err != nil {
+	if err := cbor.Unmarshal(value, &groups); err != nil { // with or without the tag
 		return nil, errors.Wrap(err, "decode flows")
 	}
 	var flows []director.FlowSnapshot
@@ -247,7 +256,7 @@
 			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
 			flows = append(flows, director.FlowSnapshot{
 				Flow: segment.NewFlow(caller, g.VIP), Owner: g.Owner, Service: g.Service, Start: g.Start,
-				Acknowledged: binary.BigEndian.Uint32(b[6:]),
+				Acknowledged: binary.BigEndian.Uint32(b[6:]), Proven: proven,
 			})
 		}
 	}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -77,7 +77,7 @@
 	if rec.open && (rec.owner != from || rec.startID != o.Start) {
 		d.port.RecordDecision(Decision{Event: OwnerChanged, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start, Restored: rec.restored})
 	}
-	rec.owner, rec.startID, rec.open, rec.searching = from, o.Start, true, false
+	rec.announce(from, o)
 	rec.stages, rec.gone, rec.ownedAt, rec.restored = nil, nil, now, false
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
@@ -112,7 +112,7 @@
 // for any other packet it starts a search.
 func (d *Director) handleReturnedDelivery(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec != nil && rec.gone != nil && !h.Opens() {
+	if rec != nil && rec.gone != nil && !h.Opens() && rec.gone.covers(h) {
 		d.resetGone(rec, h)
 		return
 	}
@@ -175,13 +175,13 @@
 }
 
 // HandleReport records an agent's status unless it is outdated. If the agent is new or
-// its upstream may have restarted or ended, it resets the cached flows of other starts
-// than the upstream's last known one, see resetOtherStarts; if none is known and no
-// upstream runs, those of all starts. It reports whether the agent is new.
+// its upstream may have restarted or ended, it resets the cached flows that are proven to be
+// of other starts than the upstream's last known one, see resetOtherStarts; if none is known and
+// no upstream runs, those of all starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
-	isNew, restarted := d.members.update(now, from, status)
+	isNew, restarted, before := d.members.update(now, from, status)
 	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.resetOtherStarts(now, from, start)
+		d.resetOtherStarts(now, from, start, before)
 	}
 	if d.members.usable(now, from) {
 		d.deliverHeld(from, d.absences.end(from))
@@ -199,11 +199,10 @@
 }
 
 // resetOtherStarts resets the cached flows that belong to other known starts of the owner's
-// upstream than the given one, see markGone; 0 means that no upstream runs. A new start may
-// have accepted flows before its first heartbeat, which were announced with the identifier of
-// the last start, and a datagram with the right one may be lost or late: the start of a flow
-// that was announced within startUncertainty is unknown then.
-func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
+// upstream than the given one, see markGone; 0 means that no upstream runs. before is the last
+// heartbeat that the owner had reported until then. The start of a flow becomes unknown if it is
+// not proven that the flow was open there, see flowRecord.endsWith.
+func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32, before heardStart) {
 	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
@@ -211,7 +210,7 @@
 			if rec.owner != owner || rec.startID == 0 || rec.startID == start {
 				continue
 			}
-			if start != 0 && rec.ownedAt > 0 && now-rec.ownedAt < startUncertainty {
+			if !rec.endsWith(before) {
 				rec.startID = 0
 				continue
 			}
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -58,10 +58,6 @@
 	// closedRetention is how long after its last packet a flow that its caller has
 	// closed stays cached, for late packets of the close. Agents use the same time.
 	closedRetention = 5 * time.Second
-	// startUncertainty is the time after an agent's announcement of a flow within which
-	// the agent may not have known yet that its upstream was another start. Upstreams send
-	// a heartbeat at their start and once a second or more often.
-	startUncertainty = time.Second
 	// maxApplyTime is the time after a change of the configuration within which all entries
 	// apply it, also while the store is disturbed.
 	maxApplyTime = 15 * time.Second
@@ -246,28 +242,33 @@
 
 	// flowRecord is the cached state of a flow.
 	flowRecord struct {
-		owner        peer.Addr      // first candidate until open; zero while searching
-		service      peer.ServiceID // of the owner, 0 if unknown
-		startID      uint32         // of the owner's upstream, 0 if unknown
-		open         bool           // the owner has reported that its upstream holds the flow
-		closed       bool           // the caller has sent Fin or Reset
-		searching    bool
-		inconclusive bool          // the search ended without proof that there is no owner
-		gone         *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
-		stages       []searchStage // stages of the search
-		round        uint8         // number of the flow's current search
-		searchedAt   time.Duration // when the search was started or repeated
-		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
-		lastSeen     time.Duration // time of the last packet or Owned message
-		waitingPlace waitingPlace  // of an opening that was returned
-		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
-		restored     bool          // by RestoreFlows; the owner has not announced the flow since
-		created      time.Duration // when the flow was last placed, else when the record was added
-		openingAt    time.Duration // when the caller sent the opening that was placed
-		copies       uint32        // number of the last copy of that opening
-		link         capacity.Flow // account of the flow's bytes, unused without a Link
-		placed       bool          // openedBy is set
-		openedBy     uint32        // sequence number of the opening that was placed
+		owner                         peer.Addr      // first candidate until open; zero while searching
+		service                       peer.ServiceID // of the owner, 0 if unknown
+		startID                       uint32         // of the owner's upstream, 0 if unknown
+		confirmed                     bool           // the caller has acknowledged what the owner's upstream has sent
+		startProven                   bool           // the start has sent a heartbeat after the flow was opened, see RestoreFlows
+		sequence                      uint32         // next sequence number of the owner's upstream when it was announced
+		heartbeat                     uint32         // a heartbeat of the start after which the flow was opened
+		open                          bool           // the owner has reported that its upstream holds the flow
+		closed                        bool           // the caller has sent Fin or Reset
+		searching                     bool
+		sequenceKnown, heartbeatKnown bool
+		inconclusive                  bool          // the search ended without proof that there is no owner
+		gone                          *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
+		stages                        []searchStage // stages of the search
+		round                         uint8         // number of the flow's current search
+		searchedAt                    time.Duration // when the search was started or repeated
+		acknowledged                  uint32        // last acknowledgement number of the caller, 0 if none
+		lastSeen                      time.Duration // time of the last packet or Owned message
+		waitingPlace                  waitingPlace  // of an opening that was returned
+		ownedAt                       time.Duration // when the owner last announced the flow; 0 if it has not
+		restored                      bool          // by RestoreFlows; the owner has not announced the flow since
+		created                       time.Duration // when the flow was last placed, else when the record was added
+		openingAt                     time.Duration // when the caller sent the opening that was placed
+		copies                        uint32        // number of the last copy of that opening
+		link                          capacity.Flow // account of the flow's bytes, unused without a Link
+		placed                        bool          // openedBy is set
+		openedBy                      uint32        // sequence number of the opening that was placed
 	}
 
 	// Option configures a Director.
@@ -473,11 +474,16 @@
 	rec.lastSeen = now
 	d.account(now, rec, h, len(packet))
 	if rec.gone != nil {
-		d.resetGone(rec, h)
+		if rec.gone.covers(h) {
+			d.resetGone(rec, h)
+			return
+		}
+		rec.gone = nil
+		d.startSearch(now, s, rec, h, packet)
 		return
 	}
 	if h.Has(segment.Ack) {
-		rec.acknowledged = h.Acknowledged
+		rec.confirm(h.Acknowledged)
 	}
 	if h.Has(segment.Fin) || h.Has(segment.Reset) {
 		rec.closed = true
--- a/pkg/director/gone.go
+++ b/pkg/director/gone.go
@@ -20,16 +20,16 @@
 // goneFlow is the state of a flow whose upstream has restarted or ended. It stays in the
 // cache for the idle timeout, so that a packet of it is reset without a search.
 type goneFlow struct {
-	why      Decision // of the resets
-	repeats  int      // left
-	repeatAt time.Duration
-	delay    time.Duration // from repeatAt to the repetition after it
+	why          Decision // of the resets
+	acknowledged uint32   // the caller's last acknowledgement number
+	repeats      int      // left
+	repeatAt     time.Duration
+	delay        time.Duration // from repeatAt to the repetition after it
 }
 
 // markGone records that the upstream that held a flow has restarted or ended, and resets the
-// flow. reported is the start of the upstream that its agent has reported, 0 if none runs. A
-// caller ignores a reset whose sequence number it does not expect: a flow without a
-// known acknowledgement is reset at its next packet.
+// flow, whose caller has acknowledged what that upstream has sent. reported is the start of the
+// upstream that its agent has reported, 0 if none runs.
 func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord, reported uint32) {
 	why := Decision{
 		Event: UpstreamGone, Proof: OtherStart, Agent: rec.owner, Start: rec.startID, Reported: reported,
@@ -39,15 +39,15 @@
 		why.Proof = NoUpstreamRuns
 	}
 	rec.owner, rec.startID, rec.open, rec.searching, rec.lastSeen = peer.Addr{}, 0, false, false, now
-	rec.gone = &goneFlow{why: why}
+	rec.gone = &goneFlow{
+		why: why, acknowledged: rec.acknowledged,
+		repeats: resetRepeats, repeatAt: now + resetRepeatDelay, delay: 2 * resetRepeatDelay,
+	}
 	if d.link != nil {
 		d.link.Ended(&rec.link)
 	}
-	if rec.acknowledged != 0 {
-		rec.gone = &goneFlow{why: why, repeats: resetRepeats, repeatAt: now + resetRepeatDelay, delay: 2 * resetRepeatDelay}
-		s.resets = append(s.resets, flow)
-		d.reset(segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, why)
-	}
+	s.resets = append(s.resets, flow)
+	d.reset(segment.Header{Flow: flow, Acknowledged: rec.acknowledged}, why)
 }
 
 // resetGone resets a flow that is gone in reply to a packet of it, other than a reset.
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -60,7 +60,8 @@
 		pausedAt   time.Duration               // when this process was last paused or delayed
 		registered map[peer.Addr]time.Duration // when each registered agent was first listed, nil if unknown
 		departed   map[peer.Addr]departure
-		evacuated  map[string]bool // failure domains whose agents get no new flows
+		heard      map[peer.Addr]heardStart // also of agents that have been removed since
+		evacuated  map[string]bool          // failure domains whose agents get no new flows
 	}
 
 	// departure records an agent that has stopped for good. Reports that it sent
@@ -110,17 +111,18 @@
 		agents:    make(map[peer.Addr]*agent),
 		byService: make(map[peer.ServiceID][]*agent),
 		departed:  make(map[peer.Addr]departure),
+		heard:     make(map[peer.Addr]heardStart),
 	}
 }
 
 // update records an agent's report unless it is outdated. It reports whether the
 // agent is new, and whether its upstream may have restarted or ended since the
-// report before.
-func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
+// report before. It returns the last heartbeat that the agent had reported before.
+func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool, before heardStart) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d, ok := m.departed[from]; ok && staleReport(status.Incarnation, d.incarnation, now-d.at) {
-		return false, false
+		return false, false, heardStart{}
 	}
 	a, ok := m.agents[from]
 	if !ok {
@@ -129,10 +131,14 @@
 	}
 	old := a.status
 	if ok && status.Incarnation != old.Incarnation && staleReport(status.Incarnation, old.Incarnation, now-a.reportedAt) {
-		return false, false
+		return false, false, heardStart{}
 	}
 	if ok && status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence {
-		return false, false
+		return false, false, heardStart{}
+	}
+	before = m.heard[from]
+	if status.Upstream != "" {
+		m.heard[from] = before.next(now, status)
 	}
 	// The agent knows no upstream, as after its own restart: the last known start is kept.
 	if status.Upstream == "" && old.Service == status.Service {
@@ -145,7 +151,7 @@
 		a.service = service
 		m.rebuildByService()
 	}
-	return !ok, restarted
+	return !ok, restarted, before
 }
 
 // staleReport reports whether a report of an incarnation is outdated: it is of
@@ -214,6 +220,11 @@
 			delete(m.departed, address)
 		}
 	}
+	for address, h := range m.heard {
+		if now-h.at > heardRetention {
+			delete(m.heard, address)
+		}
+	}
 	n := len(m.agents)
 	for address, a := range m.agents {
 		if now-a.reportedAt > evictAfter {
@@ -377,6 +388,13 @@
 	return peer.StartID(a.status.Upstream, a.status.Born), true
 }
 
+// lastHeard returns the last heartbeat that each agent has reported.
+func (m *members) lastHeard() map[peer.Addr]heardStart {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return maps.Clone(m.heard)
+}
+
 // inDomains returns the known agents of failure domains, ordered by address.
 func (m *members) inDomains(domains []string) []peer.Addr {
 	list := m.list()
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -13,7 +13,7 @@
 	rec.lastSeen, rec.searching, rec.searchedAt = now, true, now
 	rec.owner, rec.startID, rec.open, rec.inconclusive = peer.Addr{}, 0, false, false
 	if h.Has(segment.Ack) {
-		rec.acknowledged = h.Acknowledged
+		rec.confirm(h.Acknowledged)
 	}
 	rec.stages = d.planSearch(now, h.Flow)
 	rec.round++
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -19,6 +19,9 @@
 	Start        uint32 // of the owner's upstream, see peer.StartID
 	Acknowledged uint32 // last acknowledgement number of the caller
 	Repeatable   bool   // its requests may be repeated; false if unknown
+	// Proven means that the flow was open at the recorded start, so that it is gone if that one
+	// has ended. SnapshotFlows sets it. Records of builds up to 4332ead lack the proof.
+	Proven bool
 }
 
 const (
@@ -38,7 +41,8 @@
 )
 
 // SnapshotFlows returns at most limit open flows to be stored. It leaves out those that
-// the caller has closed, whose upstream's start is unknown, or whose VIP has no route;
+// the caller has closed, of which it is not proven that they are open at the recorded start of
+// their upstream, see flowRecord.endsWith, or whose VIP has no route;
 // without a configuration it returns none. Flows whose requests must not be repeated
 // come first: a caller that learns only from its next request that its flow is gone
 // loses that request. Within each kind, flows that have likely moved to another entry come
@@ -55,10 +59,11 @@
 	if config == nil {
 		return nil
 	}
+	heard := d.members.lastHeard()
 	d.eachShard(func(s *shard) {
 		for flow, rec := range s.flows {
 			r, ok := config.Lookup(flow.VIP())
-			if !rec.open || rec.closed || rec.startID == 0 || !ok {
+			if !rec.open || rec.closed || !rec.endsWith(heard[rec.owner]) || !ok {
 				continue
 			}
 			class := 0
@@ -70,7 +75,7 @@
 			}
 			all = append(all, ranked{FlowSnapshot{
 				Flow: flow, Owner: rec.owner, Service: rec.service, Start: rec.startID, Acknowledged: rec.acknowledged,
-				Repeatable: r.Idempotent,
+				Repeatable: r.Idempotent, Proven: true,
 			}, rec.lastSeen, class})
 		}
 	})
@@ -125,27 +130,31 @@
 	return out
 }
 
-// RestoreFlows adds flows that an earlier process stored to the cache, except those
-// that it holds already. A flow is reset, see resetOtherStarts, as soon as its agent has
-// reported another start of its upstream, or no known start and no running upstream.
+// RestoreFlows adds flows that an earlier process stored to the cache, except those that an
+// agent has announced or that are searched for. A flow that was restored before is replaced. A
+// proven flow is reset, see resetOtherStarts, as soon as its agent has reported another start of
+// its upstream, or no known start and no running upstream.
 func (d *Director) RestoreFlows(now time.Duration, flows []FlowSnapshot) {
 	for _, r := range flows {
 		d.restoreFlow(now, r)
 	}
 	for _, a := range d.members.list() {
 		if start, known := d.members.upstreamStart(a); known {
-			d.resetOtherStarts(now, a, start)
+			d.resetOtherStarts(now, a, start, heardStart{})
 		}
 	}
 }
 
-// restoreFlow adds a flow to the cache unless it is there already.
+// restoreFlow adds a flow to the cache, or replaces one that was restored.
 func (d *Director) restoreFlow(now time.Duration, r FlowSnapshot) {
 	s := d.lock(r.Flow)
 	defer s.mu.Unlock()
-	if s.flows[r.Flow] == nil {
-		s.flows[r.Flow] = &flowRecord{
-			owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now, restored: true,
-		}
+	if rec := s.flows[r.Flow]; rec != nil && (!rec.restored || rec.searching) {
+		return
+	}
+	proven := r.Proven && r.Acknowledged != 0
+	s.flows[r.Flow] = &flowRecord{
+		owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
+		restored: true, confirmed: proven, startProven: proven,
 	}
 }
