One odd entry in the list of agents costs that entry only

Callers would see living flows reset: another writer leaves one entry in the list of agents that is null, nested deeply, of another length or not the address of a process. All agents of the list were lost, and an entry that starts while no other one is running took the rest, none, for the complete list. It counted as settled 0.6 s after its start, so that a search through the agents that had reported by then "proved" that no agent holds a flow. The same held for a value that is no list at all. An address of another length was cut or filled with zeros and used.

Entries of the list are decoded one by one now, those that cannot be used are counted in the log, and the others hold. While some are missing, the registered agents stay unknown until another entry names them or until 10 s have passed, as for a registered agent that does not report. An entry that has known a complete list keeps it.

--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -21,6 +21,9 @@
 	// registered: until the entries have written their list to a store that lost it, and
 	// stale reads return that list.
 	agentsOfPeerRetention = 10 * time.Second
+	// unknownAgentsWait is how long an entry waits for agents whose entries in the list
+	// cannot be read: as long as for a registered agent that does not report.
+	unknownAgentsWait = 10 * time.Second
 )
 
 // discovery is the state of discoverProcesses.
@@ -28,6 +31,8 @@
 	registryRead   bool
 	agentsOfPeer   []peer.Addr // agents named by an entry that was started before
 	agentsOfPeerAt time.Duration
+	agentsKnown    bool          // the director has a list of agents that lacks none
+	agentsLackAt   time.Duration // first of the reads in a row that lacked agents, 0 if the last one did not
 }
 
 // discoverProcesses reads the registrations in the store: at the start, every
@@ -69,7 +74,7 @@
 		default: // a write is pending
 		}
 	}
-	if r.agents == nil {
+	if r.agents == nil || r.agentsUnknown {
 		e.agentListMissing.Store(true)
 	}
 	if r.holders == nil {
@@ -106,6 +111,29 @@
 	if e.now()-e.discovery.agentsOfPeerAt < agentsOfPeerRetention {
 		r.agents = append(r.agents, e.discovery.agentsOfPeer...)
 	}
-	e.director.SetRegistered(e.now(), r.agents)
+	e.setRegistered(r)
 	return nil
 }
+
+// setRegistered passes on the registered agents. If the list lacks some, those of the last
+// complete one stay registered. Without any complete one, from the store or from another entry,
+// the registered agents are unknown until unknownAgentsWait has ended: no search proves
+// before that no agent holds a flow.
+func (e *Entry) setRegistered(r registry) {
+	d := &e.discovery
+	if !r.agentsUnknown {
+		d.agentsKnown, d.agentsLackAt = true, 0
+		e.director.SetRegistered(e.now(), r.agents)
+		return
+	}
+	if d.agentsLackAt == 0 {
+		d.agentsLackAt = e.now()
+	}
+	registered, _ := e.director.Registered()
+	if !d.agentsKnown {
+		registered, d.agentsKnown = e.fetchRegistrationsFrom(e.entriesToAsk()...)
+	}
+	if d.agentsKnown || e.now()-d.agentsLackAt >= unknownAgentsWait {
+		e.director.SetRegistered(e.now(), append(r.agents, registered...))
+	}
+}
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -159,6 +159,7 @@
 		return
 	}
 	if agents, ok := e.fetchRegistrationsFrom(e.entriesToAsk()...); ok {
+		e.discovery.agentsKnown = true
 		e.director.SetRegistered(e.now(), agents)
 	}
 }
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -301,7 +301,7 @@
 	f.Add([]byte(`{"198.18.0.1:443":["maklerlink"]}`))
 	f.Add([]byte(`{"agents":["10.0.0.1"],"holders":{"198.18.0.1:443":["maklerlink"]}}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		agents, _ := decodeAgents(b)
+		agents, _, _ := decodeAgents(b)
 		r, _ := decodeRegistrations(b)
 		for _, a := range append(agents, r.addresses...) {
 			if !isUnicast(a) {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -43,14 +42,23 @@
 	// oldHoldersKey has them without, for builds up to 646ed7e.
 	holdersKey    = storePrefix + "flow-holders"
 	oldHoldersKey = storePrefix + "holders"
+
+	// maxListNesting is the depth to which an entry of a CBOR list may be nested. Checking
+	// that depth takes 4 MB of stack. A deeper one makes the whole list unreadable.
+	maxListNesting = 1 << 14
 )
 
+var listMode = newListMode()
+
 // registry holds the registrations and the flow holders read from the store.
 type registry struct {
-	entries    []peer.Addr
-	agents     []peer.Addr
-	holders    []byte // encoded; nil if the store has none
-	oldHolders []byte // encoded, without a version; nil if the store has none
+	entries []peer.Addr
+	agents  []peer.Addr
+	// agentsUnknown means that there are agents that agents lacks, as a part of the list or
+	// all of it cannot be read.
+	agentsUnknown bool
+	holders       []byte // encoded; nil if the store has none
+	oldHolders    []byte // encoded, without a version; nil if the store has none
 }
 
 // readRegistry reads the registrations. A stale read is cheaper for the store,
@@ -91,11 +99,13 @@
 		return
 	}
 	if item.Key == agentsKey {
-		agents, err := decodeAgents(item.Value)
+		agents, unusable, err := decodeAgents(item.Value)
 		if err != nil {
 			p.log.Error("list of agents not decoded", daemon.Err(err))
+		} else if unusable > 0 {
+			p.log.Error("agents in the list of agents not decoded", zap.Int("agents", unusable))
 		}
-		r.agents = agents
+		r.agents, r.agentsUnknown = agents, err != nil || unusable > 0
 		return
 	}
 	if text, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
@@ -113,20 +123,38 @@
 	written bool           // the store has acknowledged the key with the lease
 }
 
-// decodeAgents decodes the list of agents in the store. It returns an error if there are more
-// than maxProcesses or one has an address that no process can have.
-func decodeAgents(value []byte) ([]peer.Addr, error) {
-	var agents []peer.Addr
-	if err := cbor.Unmarshal(value, &agents); err != nil {
-		return nil, errors.Wrap(err, "decode agents")
+// decodeAgents decodes the list of agents in the store. It leaves out entries that are not the
+// address of a process and returns their number. It returns an error if the value is not a list
+// or has more than maxProcesses entries.
+func decodeAgents(value []byte) (agents []peer.Addr, unusable int, err error) {
+	var list []cbor.RawMessage
+	if err := listMode.Unmarshal(value, &list); err != nil {
+		return nil, 0, errors.Wrap(err, "decode agents")
+	}
+	if list == nil || len(list) > maxProcesses {
+		return nil, 0, errors.Errorf("decode agents: list of %d", len(list))
 	}
-	if len(agents) > maxProcesses {
-		return nil, errors.Errorf("decode agents: list of %d", len(agents))
+	agents = make([]peer.Addr, 0, len(list))
+	for _, encoded := range list {
+		// A peer.Addr would accept a value of another length.
+		var address []byte
+		if err := listMode.Unmarshal(encoded, &address); err != nil || len(address) != len(peer.Addr{}) || !isUnicast(peer.Addr(address)) {
+			unusable++
+			continue
+		}
+		agents = append(agents, peer.Addr(address))
 	}
-	if i := slices.IndexFunc(agents, func(a peer.Addr) bool { return !isUnicast(a) }); i >= 0 {
-		return nil, errors.Errorf("decode agents: address %s", agents[i])
+	return agents, unusable, nil
+}
+
+// newListMode returns a decoding mode for lists whose entries are decoded one by one: an entry
+// of another writer may be nested more deeply than the default allows for the whole list.
+func newListMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxNestedLevels: maxListNesting}.DecMode()
+	if err != nil {
+		panic(err) // only for options that are not valid
 	}
-	return agents, nil
+	return mode
 }
 
 // isUnicast reports whether a process can have the address.
