One odd entry in the flow holders proves nothing, and costs that entry only

Two faults of the record of flow holders that entries read when they restart together:

Callers would see living flows reset. A VIP whose services are null or not UTF-8, a record without holders, or one whose value cannot be read at all (taken for a missing one, as on the first start) counted as complete, although a service that may hold flows was missing from it.

Callers would wait for flows that have ended. One VIP with a port out of range, one number too large or one nested value made encoding/json reject the whole record. If the record without a version was unreadable, too, the entry stayed unsettled for good, read the store once a second, and never wrote the record again.

The record is split into its parts first, without recursion (pkg/jsonparts), and each part is decoded by itself. Those that cannot be used are counted in the log. The others hold, but the record is complete through no version then: searches prove nothing until another entry knows more, or until each flow that may have been placed before has passed its lifetime. Then the entry writes the record again. The encoding is unchanged.

TestOddEntryInFlowHolders (testdata/flow-holders.txt) and TestUnreadableHoldersAreNoFirstStart failed before, among others with odd_entries_test.go:118: != 198.18.0.1:443=a (port out of range) odd_entries_test.go:119: 7 != 0 (holders null) odd_entries_test.go:124: not true: c.director.HoldersComplete() (after 80 s) odd_entries_test.go:140: not true: !c.director.HoldersComplete()

--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -77,7 +77,7 @@
 	if r.agents == nil || r.agentsUnknown {
 		e.agentListMissing.Store(true)
 	}
-	if r.holders == nil {
+	if len(r.holders) == 0 {
 		e.config.requestHoldersWrite()
 	}
 }
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/jsonparts"
 	"hickoryhook.example/platform"
 )
 
@@ -108,26 +112,35 @@
 	return record
 }
 
-// mergeHolders merges the flow holders in the store into those of this entry. Values that
-// cannot be decoded are skipped; the director stays unsettled until it gets complete flow
-// holders elsewhere. It returns the record, the zero value if there is none.
+// mergeHolders merges the flow holders in the store into those of this entry. What cannot be
+// decoded is skipped; the director stays unsettled until it gets complete flow holders elsewhere
+// or until no flow can be left that was placed before. It returns the record, without a version
+// if it is not complete.
 func (c *configSync) mergeHolders(r registry) holdersRecord {
-	old, err := decodeOldHolders(r.oldHolders)
-	if err != nil {
-		c.log.Error("flow holders not decoded", zap.String("key", oldHoldersKey), daemon.Err(err))
-	} else if r.oldHolders != nil {
+	if r.oldHolders != nil {
+		old, unusable, err := decodeHoldersByVIP(r.oldHolders)
+		c.logUnusableHolders(oldHoldersKey, unusable, err)
 		c.director.MergeHolders(old, 0)
 	}
-	record, err := decodeHolders(r.holders)
-	if err != nil {
-		c.log.Error("flow holders not decoded", zap.String("key", holdersKey), daemon.Err(err))
-	} else if r.holders != nil {
+	var record holdersRecord
+	if r.holders != nil {
+		var unusable int
+		var err error
+		record, unusable, err = decodeHolders(r.holders)
+		c.logUnusableHolders(holdersKey, unusable, err)
 		c.director.MergeHolders(record.Holders, record.Through)
 	}
 	c.logHolders(storeSource)
 	return record
 }
 
+// logUnusableHolders logs that flow holders could not be decoded, all or some of them.
+func (c *configSync) logUnusableHolders(from string, unusable int, err error) {
+	if err != nil || unusable > 0 {
+		c.log.Error("flow holders not decoded", zap.String("from", from), zap.Int("parts", unusable), daemon.Err(err))
+	}
+}
+
 // completeHolders completes the flow holders by those of another entry, else by the record in
 // the store and the versions of the configuration since it was written. If there is no record,
 // and no entry was started before this one, no flow was placed under an earlier version.
@@ -183,26 +196,74 @@
 	return 0
 }
 
-// decodeHolders decodes a record that putHolders has written; nil stands for none.
-func decodeHolders(value []byte) (holdersRecord, error) {
-	var record holdersRecord
-	if value == nil {
-		return record, nil
+// decodeHolders decodes a record that putHolders has written, as far as it can be read, and
+// returns the number of parts that cannot. A record that lacks any is complete through no
+// version.
+func decodeHolders(value []byte) (record holdersRecord, unusable int, err error) {
+	members, err := jsonparts.Object(value)
+	if err != nil {
+		return holdersRecord{}, 0, errors.Wrap(err, "decode holders")
+	}
+	for _, m := range members {
+		var err error
+		switch m.Name {
+		case "through":
+			err = json.Unmarshal(m.Value, &record.Through)
+		case "era":
+			err = json.Unmarshal(m.Value, &record.Era)
+		case "revision":
+			err = json.Unmarshal(m.Value, &record.Revision)
+		case "holders":
+			var parts int
+			record.Holders, parts, err = decodeHoldersByVIP(m.Value)
+			unusable += parts
+		}
+		if err != nil {
+			unusable++
+		}
 	}
-	if err := json.Unmarshal(value, &record); err != nil {
-		return holdersRecord{}, errors.Wrap(err, "decode holders")
+	if record.Holders == nil {
+		unusable++
 	}
-	return record, nil
+	if unusable > 0 {
+		record.Through, record.Era, record.Revision = 0, 0, 0
+	}
+	return record, unusable, nil
+}
+
+// decodeHoldersByVIP decodes the services that may hold flows of each VIP. It leaves out those of
+// a VIP that cannot be read and returns their number.
+func decodeHoldersByVIP(value []byte) (holders map[netip.AddrPort][]string, unusable int, err error) {
+	members, err := jsonparts.Object(value)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "decode holders")
+	}
+	holders = make(map[netip.AddrPort][]string, len(members))
+	for _, m := range members {
+		vip, services, err := decodeHoldersOfVIP(m)
+		if err != nil {
+			unusable++
+			continue
+		}
+		holders[vip] = append(holders[vip], services...)
+	}
+	return holders, unusable, nil
 }
 
-// decodeOldHolders decodes flow holders without a version; nil stands for none.
-func decodeOldHolders(value []byte) (map[netip.AddrPort][]string, error) {
-	if value == nil {
-		return nil, nil
+// decodeHoldersOfVIP decodes the services that may hold flows of one VIP.
+func decodeHoldersOfVIP(m jsonparts.Member) (netip.AddrPort, []string, error) {
+	vip, err := netip.ParseAddrPort(m.Name)
+	if err != nil {
+		return vip, nil, errors.Wrap(err, "VIP")
+	}
+	var services []string
+	if err := json.Unmarshal(m.Value, &services); err != nil {
+		return vip, nil, errors.Wrap(err, "services")
 	}
-	var holders map[netip.AddrPort][]string
-	if err := json.Unmarshal(value, &holders); err != nil {
-		return nil, errors.Wrap(err, "decode holders")
+	// Bytes that are not UTF-8 are decoded as utf8.RuneError, null as an empty name.
+	unreadable := func(service string) bool { return service == "" || strings.ContainsRune(service, utf8.RuneError) }
+	if len(services) == 0 || slices.ContainsFunc(services, unreadable) {
+		return vip, nil, errors.New("services: name missing or not readable")
 	}
-	return holders, nil
+	return netip.AddrPortFrom(vip.Addr().Unmap(), vip.Port()), services, nil
 }
--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -2,18 +2,26 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/hex"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/platform"
 )
 
+var repetition = regexp.MustCompile(`([\[\]])\*(\d+)`)
+
 // readTable returns the lines of a file in testdata, split into their columns.
 func readTable(t *testing.T, name string) [][]string {
 	t.Helper()
@@ -54,6 +62,25 @@
 	return value
 }
 
+// expandJSON replaces each X*N in a value by N times X, for a bracket X, and \xff by the byte.
+func expandJSON(text string) []byte {
+	text = repetition.ReplaceAllStringFunc(text, func(s string) string {
+		n, _ := strconv.Atoi(s[2:]) // digits only
+		return strings.Repeat(s[:1], n)
+	})
+	return []byte(strings.ReplaceAll(text, `\xff`, "\xff"))
+}
+
+// formatHolders returns flow holders as in "198.18.0.1:443=a,b 198.18.0.2:80=c".
+func formatHolders(holders map[netip.AddrPort][]string) string {
+	var parts []string
+	for vip, services := range holders {
+		parts = append(parts, vip.String()+"="+strings.Join(services, ","))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
 // TestOddEntryInListOfAgents guards against a list of agents that is lost as a whole because of
 // one entry that cannot be used, and against one that seems complete without that entry.
 func TestOddEntryInListOfAgents(t *testing.T) {
@@ -72,3 +99,44 @@
 		})
 	}
 }
+
+// TestOddEntryInFlowHolders guards against a record of flow holders that is lost as a whole
+// because of one entry that cannot be used, and against one that proves resets without it. It
+// must not keep the entry unsettled for good either: flows end, and then it is written again.
+func TestOddEntryInFlowHolders(t *testing.T) {
+	for _, row := range readTable(t, "flow-holders.txt") {
+		t.Run(row[0], func(t *testing.T) {
+			is := is.New(t)
+			through, err := strconv.ParseUint(row[3], 10, 64)
+			is.NoErr(err)
+			c, _ := newTestConfigSync(t, kvstandin.New(), &countingPort{})
+			e := &Entry{process: c.process, director: c.director, config: c}
+			is.NoErr(c.apply([]byte(`{"version":7}`), "test", 0))
+			var r registry
+			e.addRegistryItem(&r, platform.Item{Key: holdersKey, Value: expandJSON(row[1])})
+			e.completeHolders(context.Background(), r)
+			is.Equal(formatHolders(c.director.Holders()), row[2])
+			is.Equal(c.director.HoldersThrough(), through)
+			is.Equal(c.director.HoldersComplete(), through == 7)
+			for now := time.Duration(0); now < 80*time.Second; now += time.Second {
+				c.director.Tick(now, 100*time.Millisecond)
+			}
+			is.True(c.director.HoldersComplete())
+		})
+	}
+}
+
+// TestUnreadableHoldersAreNoFirstStart guards against resets of living flows by entries that
+// restart together: a record in the store whose value cannot be read is not a missing one.
+func TestUnreadableHoldersAreNoFirstStart(t *testing.T) {
+	for _, key := range []string{holdersKey, oldHoldersKey} {
+		is := is.New(t)
+		c, _ := newTestConfigSync(t, kvstandin.New(), &countingPort{})
+		e := &Entry{process: c.process, director: c.director, config: c}
+		is.NoErr(c.apply([]byte(`{"version":7}`), "test", 0))
+		var r registry
+		e.addRegistryItem(&r, platform.Item{Key: key})
+		e.completeHolders(context.Background(), r)
+		is.True(!c.director.HoldersComplete())
+	}
+}
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -308,13 +308,13 @@
 				t.Fatalf("accepted %s", a)
 			}
 		}
-		record, err := decodeHolders(b)
+		record, _, err := decodeHolders(b)
 		d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil)
 		d.MergeHolders(r.Holders, r.HoldersThrough)
 		if err == nil {
 			d.MergeHolders(record.Holders, record.Through)
 		}
-		if old, err := decodeOldHolders(b); err == nil {
+		if old, _, err := decodeHoldersByVIP(b); err == nil {
 			d.MergeHolders(old, 0)
 		}
 		p := &process{log: zap.NewNop()}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -57,8 +57,8 @@
 	// agentsUnknown means that there are agents that agents lacks, as a part of the list or
 	// all of it cannot be read.
 	agentsUnknown bool
-	holders       []byte // encoded; nil if the store has none
-	oldHolders    []byte // encoded, without a version; nil if the store has none
+	holders       []byte // encoded; nil if the store has none, empty if its value cannot be read
+	oldHolders    []byte // the same, without a version
 }
 
 // readRegistry reads the registrations. A stale read is cheaper for the store,
@@ -92,10 +92,10 @@
 func (p *process) addRegistryItem(r *registry, item platform.Item) {
 	switch item.Key {
 	case holdersKey:
-		r.holders = item.Value
+		r.holders = append([]byte{}, item.Value...)
 		return
 	case oldHoldersKey:
-		r.oldHolders = item.Value
+		r.oldHolders = append([]byte{}, item.Value...)
 		return
 	}
 	if item.Key == agentsKey {
