One odd entry in the registrations of another entry costs that entry only

An entry that the store does not answer, or that reads incomplete lists there, asks another entry. Seen from callers: a response without agents or holders, with null in place of one, or with a service that is not UTF-8, counted as complete. The entry settled without agents or services that may hold living flows, and reset them. And one agent that is no address, or one VIP with a port out of range, made the whole response unusable, so that the entry stayed unsettled although all other agents were named.

The response is decoded part by part, like the record in the store. What can be used holds; if anything cannot, the response does not count as complete, and the next entry is asked.

TestOddEntryInRegistrations (testdata/registrations.txt) failed before, among others with odd_entries_test.go:173: != 10.0.0.2 (one agent is no address) odd_entries_test.go:175: 7 != 0 (holders null) odd_entries_test.go:176: true != false (agents missing)

--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -17,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"hickoryhook.example/internal/kvstandin"
+	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
 )
 
@@ -140,3 +143,37 @@
 		is.True(!c.director.HoldersComplete())
 	}
 }
+
+// TestOddEntryInRegistrations guards against registrations of another entry that are lost as a
+// whole because of one part that cannot be used, and against those that prove resets without it.
+func TestOddEntryInRegistrations(t *testing.T) {
+	for _, row := range readTable(t, "registrations.txt") {
+		t.Run(row[0], func(t *testing.T) {
+			is := is.New(t)
+			through, err := strconv.ParseUint(row[4], 10, 64)
+			is.NoErr(err)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				body := expandJSON(row[1])
+				if req.URL.Path == configPath {
+					body = []byte(`{"version":5}`)
+				}
+				_, err := w.Write(body)
+				is.NoErr(err)
+			}))
+			defer server.Close()
+			address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			c, _ := newTestConfigSync(t, kvstandin.New(), &countingPort{})
+			c.settings = &platform.Settings{PeerPort: address.Port() - 1}
+			e := &Entry{process: c.process, director: c.director, config: c}
+			registered, complete := e.fetchRegistrationsFrom(peer.NewAddr(address.Addr()))
+			var agents []string
+			for _, a := range registered {
+				agents = append(agents, a.String())
+			}
+			is.Equal(strings.Join(agents, " "), row[2])
+			is.Equal(formatHolders(c.director.Holders()), row[3])
+			is.Equal(c.director.HoldersThrough(), through)
+			is.Equal(complete, row[5] == "yes")
+		})
+	}
+}
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/pkg/jsonparts"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
 )
@@ -39,6 +40,7 @@
 	Holders        map[netip.AddrPort][]string `json:"holders"`
 	HoldersThrough uint64                      `json:"holders-through"`
 	addresses      []peer.Addr                 // Agents, decoded
+	unusable       int                         // agents and parts of the holders that cannot be read
 }
 
 // serveRegistrations serves the registrations to another entry, or 503 if this
@@ -178,9 +180,10 @@
 	return e.entries.startedBefore(e.now(), e.started.Add(-minStartDifference))
 }
 
-// fetchRegistrationsFrom asks entries in turn for the registrations until one returns them.
-// It merges that one's flow holders and returns its agents, and false if none answers.
-func (e *Entry) fetchRegistrationsFrom(entries ...peer.Addr) ([]peer.Addr, bool) {
+// fetchRegistrationsFrom asks entries in turn for the registrations until one returns them
+// complete. It merges their flow holders and returns their agents, and false if no response is
+// complete.
+func (e *Entry) fetchRegistrationsFrom(entries ...peer.Addr) (agents []peer.Addr, complete bool) {
 	for _, a := range entries {
 		r, err := e.getRegistrations(a)
 		if err != nil {
@@ -188,11 +191,17 @@
 			continue
 		}
 		e.log.Info("registrations of another entry", zap.Stringer("entry", a))
+		if r.unusable > 0 {
+			e.log.Error("registrations of another entry not decoded", zap.Stringer("entry", a), zap.Int("parts", r.unusable))
+		}
 		e.director.MergeHolders(r.Holders, r.HoldersThrough)
 		e.config.logHolders(a.String())
-		return r.addresses, true
+		agents = append(agents, r.addresses...)
+		if r.unusable == 0 {
+			return agents, true
+		}
 	}
-	return nil, false
+	return agents, false
 }
 
 // getRegistrations returns the registrations of another entry. A build up to 646ed7e does not
@@ -200,7 +209,7 @@
 // was in force there before, as it answers only while it takes them for complete.
 func (e *Entry) getRegistrations(from peer.Addr) (registrations, error) {
 	r, err := e.requestRegistrations(from)
-	if err != nil || r.HoldersThrough != 0 {
+	if err != nil || r.HoldersThrough != 0 || r.unusable > 0 {
 		return r, err
 	}
 	version, err := e.requestVersion(from)
@@ -211,7 +220,9 @@
 	if r, err = e.requestRegistrations(from); err != nil {
 		return registrations{}, err
 	}
-	r.HoldersThrough = max(r.HoldersThrough, version)
+	if r.unusable == 0 {
+		r.HoldersThrough = max(r.HoldersThrough, version)
+	}
 	return r, nil
 }
 
@@ -237,22 +248,64 @@
 	return config.Version(), nil
 }
 
-// decodeRegistrations decodes the response of serveRegistrations. It returns an error if it
-// lists more than maxProcesses agents or one has an address that no process can have.
+// decodeRegistrations decodes the response of serveRegistrations as far as it can be read, and
+// counts the parts that cannot. Flow holders that lack any are complete through no version. It
+// returns an error if the response is no object or lists more than maxProcesses agents.
 func decodeRegistrations(value []byte) (registrations, error) {
-	var r registrations
-	if err := json.Unmarshal(value, &r); err != nil {
+	members, err := jsonparts.Object(value)
+	if err != nil {
 		return registrations{}, errors.Wrap(err, "fetch from entry")
 	}
-	if len(r.Agents) > maxProcesses {
-		return registrations{}, errors.Errorf("fetch from entry: list of %d agents", len(r.Agents))
-	}
-	for _, text := range r.Agents {
-		a, err := netip.ParseAddr(text)
-		if err != nil || !a.Is4() || !isUnicast(peer.NewAddr(a)) {
-			return registrations{}, errors.Errorf("fetch from entry: invalid agent address %q", text)
+	var r registrations
+	hasAgents, unusableHolders := false, 0
+	for _, m := range members {
+		switch m.Name {
+		case "agents":
+			list, err := jsonparts.List(m.Value)
+			if err != nil {
+				continue
+			}
+			if len(list) > maxProcesses {
+				return registrations{}, errors.Errorf("fetch from entry: list of %d agents", len(list))
+			}
+			hasAgents = true
+			r.unusable += r.addAgents(list)
+		case "holders":
+			var parts int
+			if r.Holders, parts, err = decodeHoldersByVIP(m.Value); err == nil {
+				unusableHolders += parts
+			}
+		case "holders-through":
+			if json.Unmarshal(m.Value, &r.HoldersThrough) != nil {
+				unusableHolders++
+			}
 		}
-		r.addresses = append(r.addresses, peer.NewAddr(a))
 	}
+	if !hasAgents {
+		r.unusable++
+	}
+	if r.Holders == nil {
+		unusableHolders++
+	}
+	if unusableHolders > 0 {
+		r.HoldersThrough = 0
+	}
+	r.unusable += unusableHolders
 	return r, nil
 }
+
+// addAgents adds the agents of an encoded list, and returns the number of those whose address
+// cannot be read or is none that a process can have.
+func (r *registrations) addAgents(list []json.RawMessage) (unusable int) {
+	for _, encoded := range list {
+		var text string
+		err := json.Unmarshal(encoded, &text)
+		a, parseErr := netip.ParseAddr(text)
+		if err != nil || parseErr != nil || !a.Is4() || !isUnicast(peer.NewAddr(a)) {
+			unusable++
+			continue
+		}
+		r.Agents, r.addresses = append(r.Agents, text), append(r.addresses, peer.NewAddr(a))
+	}
+	return unusable
+}
