One odd group in the saved flows of an entry costs that group only

After a loss of power callers would wait for flows that have ended: one group in the entry's saved flows with a null, a number too large or a VIP that is not IPv4 made all of them unreadable, and the flows that were added since were not even read. A group whose owner is no process, or whose last caller is cut off, was used: packets of its flows went nowhere.

The groups are decoded one by one, those that cannot be used are counted in the log, and the added part is read in any case. No proof rests on their number: a flow that is not recalled is searched for.

--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -177,3 +177,27 @@
 		})
 	}
 }
+
+// TestOddEntryInSavedFlows guards against saved flows that are lost as a whole because of one
+// group that cannot be used, or because the part before them cannot be read: after a loss of
+// power their callers would wait in vain.
+func TestOddEntryInSavedFlows(t *testing.T) {
+	const (
+		good  = "85 46c6120001bb01 440a000002 09 03 4a644000079c410000004d"
+		added = "81 85 46c6120001bb01 440a000002 09 03 4a644000079c420000004d"
+	)
+	for _, row := range readTable(t, "saved-flows.txt") {
+		t.Run(row[0], func(t *testing.T) {
+			is := is.New(t)
+			want, err := strconv.Atoi(row[2])
+			is.NoErr(err)
+			store := kvstandin.New()
+			c, _ := newTestConfigSync(t, store, &countingPort{})
+			e := &Entry{process: c.process, director: c.director, config: c}
+			store.Set(flowsKey(e.self, wholePart), parseHex(t, strings.ReplaceAll(row[1], "good", good)))
+			store.Set(flowsKey(e.self, addedPart), parseHex(t, added))
+			_ = e.restoreFlows(context.Background()) // reports what cannot be read
+			is.Equal(e.director.Flows(), want+1)
+		})
+	}
+}
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -148,14 +148,9 @@
 
 // restoreFlows passes the flows that this entry saved before its restart to the
 // director. It retries until the store or another entry returns them or reports
-// that there are none. It returns an error if they cannot be decoded.
+// that there are none. It returns an error for the parts that cannot be decoded.
 func (e *Entry) restoreFlows(ctx context.Context) error {
-	for _, part := range []string{wholePart, addedPart} {
-		if err := e.restoreFlowsPart(ctx, part); err != nil {
-			return err
-		}
-	}
-	return nil
+	return errors.Join(e.restoreFlowsPart(ctx, wholePart), e.restoreFlowsPart(ctx, addedPart))
 }
 
 // restoreFlowsPart is restoreFlows for one part. The added flows may be older than the whole:
@@ -173,10 +168,13 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		flows, err := decodeFlows(value)
+		flows, unusable, err := decodeFlows(value)
 		if err != nil {
 			return err
 		}
+		if unusable > 0 {
+			e.log.Warn("saved flows not decoded", zap.String("part", part), zap.Int("groups", unusable))
+		}
 		e.director.RestoreFlows(e.now(), flows)
 		e.log.Info("flows recalled", zap.String("part", part), zap.Int("flows", len(flows)))
 		return nil
@@ -228,28 +226,45 @@
 	return value, nil
 }
 
-// decodeFlows decodes the flows that encodeFlows has encoded. It returns an error if they
-// exceed maxSavedFlowsBytes or name an address that no flow can have.
-func decodeFlows(value []byte) ([]director.FlowSnapshot, error) {
+// decodeFlows decodes the flows that encodeFlows has encoded. It leaves out groups that cannot
+// be used and returns their number. It returns an error if the value exceeds maxSavedFlowsBytes
+// or is not a list.
+func decodeFlows(value []byte) (flows []director.FlowSnapshot, unusable int, err error) {
 	if len(value) > maxSavedFlowsBytes {
-		return nil, errors.Errorf("decode flows: %d bytes", len(value))
+		return nil, 0, errors.Errorf("decode flows: %d bytes", len(value))
 	}
-	var groups []flowGroup
-	if err := cbor.Unmarshal(value, &groups); err != nil {
-		return nil, errors.Wrap(err, "decode flows")
+	var groups []cbor.RawMessage
+	if err := listMode.Unmarshal(value, &groups); err != nil {
+		return nil, 0, errors.Wrap(err, "decode flows")
 	}
-	var flows []director.FlowSnapshot
-	for _, g := range groups {
-		if !g.VIP.Addr().Unmap().Is4() {
-			return nil, errors.Errorf("decode flows: VIP %s", g.VIP)
-		}
-		for b := g.Callers; len(b) >= callerRecordBytes; b = b[callerRecordBytes:] {
-			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
-			flows = append(flows, director.FlowSnapshot{
-				Flow: segment.NewFlow(caller, g.VIP), Owner: g.Owner, Service: g.Service, Start: g.Start,
-				Acknowledged: binary.BigEndian.Uint32(b[6:]),
-			})
+	for _, encoded := range groups {
+		group, err := decodeFlowGroup(encoded)
+		if err != nil {
+			unusable++
+			continue
 		}
+		flows = append(flows, group...)
+	}
+	return flows, unusable, nil
+}
+
+// decodeFlowGroup decodes the flows of a flowGroup. It returns an error if the group names an
+// address that no flow or no process can have, or a caller is cut off.
+func decodeFlowGroup(encoded []byte) ([]director.FlowSnapshot, error) {
+	var g flowGroup
+	if err := listMode.Unmarshal(encoded, &g); err != nil {
+		return nil, errors.Wrap(err, "decode group")
+	}
+	if !g.VIP.Addr().Unmap().Is4() || !isUnicast(g.Owner) || len(g.Callers)%callerRecordBytes != 0 {
+		return nil, errors.Errorf("decode group: VIP %s, owner %s, %d bytes of callers", g.VIP, g.Owner, len(g.Callers))
+	}
+	flows := make([]director.FlowSnapshot, 0, len(g.Callers)/callerRecordBytes)
+	for b := g.Callers; len(b) > 0; b = b[callerRecordBytes:] {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
+		flows = append(flows, director.FlowSnapshot{
+			Flow: segment.NewFlow(caller, g.VIP), Owner: g.Owner, Service: g.Service, Start: g.Start,
+			Acknowledged: binary.BigEndian.Uint32(b[6:]),
+		})
 	}
 	return flows, nil
 }
