One odd item of the store does not end a read or a watch

A single item that the client cannot decode (a value that is not base64, a key that is no text, a revision out of range, deep nesting) failed the response as a whole. The watch asked from the same revision again and got the same error, so that an entry stopped following the configuration; reads of the registrations and of the operators' keys failed for as long as the item was there; an entry whose own saved flows came with an odd revision retried for good, and saved no flows.

Such an item may be the one that is missing: an evacuation stays in force, the list of agents and the flow holders do not count as missing, an event leads to a read of the operators' keys, and the versions of the configuration around it do not count as consecutive.

--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -112,10 +112,15 @@
 
 // applyEvents applies the configurations of a watch in their order. version is that of the
 // configuration before them, 0 if unknown. It returns the version after them, 0 if unknown,
-// and an error if the last one cannot be decoded.
+// and an error if the last one cannot be decoded. An event whose key cannot be read may be one
+// of a configuration.
 func (c *configSync) applyEvents(events []platform.Item, version uint64) (uint64, error) {
 	var failure error
 	for _, e := range events {
+		if e.Key == "" {
+			version = 0
+			continue
+		}
 		if e.Key != platform.ConfigKey || e.Deleted {
 			continue
 		}
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -167,12 +167,24 @@
 			c.addOperatorItem(&keys, item)
 			after = item.Key
 		}
+		if page.Unnamed > 0 {
+			c.keepEvacuated(&keys)
+		}
 		if !page.More || len(page.Items) == 0 {
 			return keys, nil
 		}
 	}
 }
 
+// keepEvacuated adds the domains that were evacuated according to the last read, as a key that
+// cannot be read may request one of them.
+func (c *configSync) keepEvacuated(keys *operatorKeys) {
+	c.evacuations.ignore("", "not readable")
+	if m := c.evacuations.message(); m != nil {
+		keys.evacuated = append(keys.evacuated, m.Domains...)
+	}
+}
+
 // addOperatorItem adds one item of the store. Keys that are neither the configuration nor a
 // request for an evacuation are logged once and skipped.
 func (c *configSync) addOperatorItem(keys *operatorKeys, item platform.Item) {
@@ -197,10 +209,11 @@
 	}
 }
 
-// requestsEvacuation reports whether the event is about a request for an evacuation.
+// requestsEvacuation reports whether the event is about a request for an evacuation, or may be,
+// as its key cannot be read.
 func requestsEvacuation(event platform.Item) bool {
 	_, requests, _ := platform.EvacuatedDomain(event.Key)
-	return requests
+	return requests || event.Key == ""
 }
 
 // announceEvacuation sends hello messages to the live entries, and to the agents of the
--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -201,3 +203,70 @@
 		})
 	}
 }
+
+// newScriptedStore returns the address of a store that answers reads of a range with pages, and
+// watches with events, both encoded.
+func newScriptedStore(t *testing.T, page, events func() string) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body := page()
+		if req.URL.Path == "/kv-watch" {
+			body = events()
+		}
+		_, _ = w.Write([]byte(body)) // the client may have closed the connection
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestOddEventIsFollowed guards against an entry that stops following the operators' keys because
+// of one event that cannot be read, and against one that misses what the event was about: it
+// may be a request for an evacuation, or a configuration under which flows were placed.
+func TestOddEventIsFollowed(t *testing.T) {
+	item := func(key, value string) string {
+		return fmt.Sprintf(`{"key":%q,"value":%q,"rev":8}`, key, base64.StdEncoding.EncodeToString([]byte(value)))
+	}
+	for _, odd := range []string{`null`, `7`, `{"key":1e400}`, `{"value":"%"}`, strings.Repeat("[", 20000) + strings.Repeat("]", 20000)} {
+		t.Run(odd[:min(20, len(odd))], func(t *testing.T) {
+			is := is.New(t)
+			page := `{"items":[` + item(platform.ConfigKey, `{"version":7}`) + `],"as-of":7}`
+			c, _ := newTestConfigSync(t, kvstandin.New(), &countingPort{})
+			c.eras = newEraSignal()
+			c.store = platform.NewStore(newScriptedStore(t, func() string { return page }, func() string {
+				return `{"events":[` + odd + `,` + item(platform.ConfigKey, `{"version":9}`) + `],"as-of":9}`
+			}))
+			is.NoErr(c.watchOnce(context.Background()))
+			c.director.MergeHolders(nil, 7)
+			page = `{"items":[` + item(platform.ConfigKey, `{"version":9}`) + `,` + item("op/evacuate/graz-nord", "") + `],"as-of":9}`
+			is.NoErr(c.watchOnce(context.Background()))
+			is.Equal(c.director.Config().Version(), uint64(9))
+			is.Equal(c.evacuations.message().Domains, []string{"graz-nord"})
+			is.Equal(c.director.HoldersThrough(), uint64(7))
+			after, _ := c.watchedUntil()
+			is.Equal(after.Number, uint64(9))
+		})
+	}
+}
+
+// TestOddKeyIsNotMissing guards against a key of the store that cannot be read and is taken for
+// one that does not exist: the list of agents, the flow holders, or a request for an evacuation.
+func TestOddKeyIsNotMissing(t *testing.T) {
+	is := is.New(t)
+	config := `{"key":"op/config","value":"` + base64.StdEncoding.EncodeToString([]byte(`{"version":7}`)) + `"}`
+	page := `{"items":[{"key":"op/evacuate/graz-nord"},` + config + `],"as-of":7}`
+	c, _ := newTestConfigSync(t, kvstandin.New(), &countingPort{})
+	c.store = platform.NewStore(newScriptedStore(t, func() string { return page }, func() string { return "" }))
+	is.NoErr(c.read(context.Background()))
+	page = `{"items":[{"key":7},` + config + `],"as-of":8}`
+	is.NoErr(c.read(context.Background()))
+	is.Equal(c.evacuations.message().Domains, []string{"graz-nord"})
+
+	page = `{"items":[{"key":7},{"key":"hickoryhook/entry/10.0.0.9","value":"YQ=="}],"as-of":8}`
+	r, err := c.readRegistry(context.Background(), false)
+	is.NoErr(err)
+	is.Equal(r.entries, []peer.Addr{{10, 0, 0, 9}})
+	is.True(r.agentsUnknown)
+	e := &Entry{process: c.process, director: c.director, config: c}
+	e.completeHolders(context.Background(), r)
+	is.True(!c.director.HoldersComplete())
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var r registry
-	after := ""
+	after, unnamed := "", 0
 	for {
 		p.metrics.increment("store-reads")
 		page, err := p.store.Range(ctx, storePrefix, after, stale)
@@ -78,15 +78,29 @@
 			p.addRegistryItem(&r, item)
 			after = item.Key
 		}
+		unnamed += page.Unnamed
 		if len(r.entries) > maxProcesses {
 			return registry{}, errors.Errorf("more than %d entries are registered", maxProcesses)
 		}
 		if !page.More || len(page.Items) == 0 {
+			p.addUnnamedItems(&r, unnamed)
 			return r, nil
 		}
 	}
 }
 
+// addUnnamedItems adds items whose keys cannot be read. Each may be one that is missing.
+func (p *process) addUnnamedItems(r *registry, count int) {
+	if count == 0 {
+		return
+	}
+	p.log.Warn("keys of the store not decoded", zap.Int("keys", count))
+	r.agentsUnknown = r.agentsUnknown || r.agents == nil
+	if r.holders == nil {
+		r.holders = []byte{}
+	}
+}
+
 // addRegistryItem decodes one item of the store into the registry. Items that
 // cannot be decoded are logged and skipped.
 func (p *process) addRegistryItem(r *registry, item platform.Item) {
