--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -22,6 +22,7 @@
 
 	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/relay"
 	"hickoryhook.example/platform"
 )
 
@@ -270,3 +271,21 @@
 	e.completeHolders(context.Background(), r)
 	is.True(!c.director.HoldersComplete())
 }
+
+// TestOddIDKeepsReportsReadable guards against an agent that disappears for all entries because
+// of one heartbeat: an id that is not UTF-8 makes each of its reports unreadable.
+func TestOddIDKeepsReportsReadable(t *testing.T) {
+	is := is.New(t)
+	p, _ := newLoggedProcess()
+	a := &Agent{process: p}
+	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
+	const body = `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`
+	odd := heartbeat(a, "i-%ff", body)
+	report, err := peer.Encode(peer.Report, a.status())
+	is.NoErr(err)
+	var status peer.Status
+	is.NoErr(peer.DecodeMessage(report, &status))
+	is.Equal(odd, http.StatusBadRequest)
+	is.Equal(heartbeat(a, "i-1", body), http.StatusOK)
+	is.Equal(a.status().Upstream, "i-1")
+}
