A configuration with one odd route serves the others

One route (or service, or limit) that could not be decoded kept a whole configuration out of force: callers of all other routes would be served by the old one for good, and an entry that starts would serve nobody.

The other routes are put in force now, and the configuration tells how many could not be read. One of these may be the route of any VIP that it lacks, so that its absence proves nothing: open flows to such a VIP stay with their owner or are searched for, openings are dropped without a reset, and the flow holders keep the VIP and do not count as complete for this version until the lifetime of its flows has passed. The platform accepts only valid configurations, so this has not been seen there.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -128,6 +128,10 @@
 	c.mu.Unlock()
 	c.metrics.increment("configurations")
 	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from))
+	if config.Unreadable() > 0 {
+		c.metrics.increment("bad-configurations")
+		c.log.Error("routes of the configuration not decoded", zap.Uint64("config", config.Version()), zap.Int("routes", config.Unreadable()))
+	}
 	c.logHolders(from)
 	c.onChange()
 }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -374,6 +374,8 @@
 	defer func() { d.forgetUnless(handled, s, h.Flow) }()
 	r, ok := config.Lookup(h.Flow.VIP())
 	switch {
+	case !ok && config.Unreadable() > 0:
+		d.handleUnreadable(now, s, h, packet)
 	case !ok:
 		d.handleUnrouted(now, s, h)
 	case h.Opens():
@@ -411,6 +413,14 @@
 	d.reset(event, h, 0)
 }
 
+// handleUnreadable handles a packet whose VIP may have a route that could not be read. An open
+// flow stays with its owner. An opening is dropped: no service is known that it may be sent to.
+func (d *Director) handleUnreadable(now time.Duration, s *shard, h segment.Header, packet []byte) {
+	if !h.Opens() {
+		d.handleEstablished(now, s, h, packet)
+	}
+}
+
 // ConfigCurrent reports whether the configuration was verified within maxConfigAge.
 func (d *Director) ConfigCurrent(now time.Duration) bool {
 	at := time.Duration(d.verified.Load())
--- a/pkg/director/history.go
+++ b/pkg/director/history.go
@@ -35,8 +35,8 @@
 
 // add adds the services of a newer configuration and puts it in force. It removes the VIPs
 // that the configuration does not route, whose flows are reset (see
-// Director.handleUnrouted). previous is the version that it followed, 0 if unknown. It
-// reports whether any VIP has gained a service.
+// Director.handleUnrouted), unless it has routes that could not be read. previous is the version
+// that it followed, 0 if unknown. It reports whether any VIP has gained a service.
 func (h *history) add(c *route.Config, previous uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -48,8 +48,9 @@
 		changed = changed || len(services) != len(old)
 		next[r.VIP] = services
 	})
-	if c.Version() < h.through {
-		// A record that was merged is ahead: later versions may have added VIPs again.
+	if c.Version() < h.through || c.Unreadable() > 0 {
+		// A record that was merged is ahead: later versions may have added VIPs again. Or a
+		// VIP may be that of a route that could not be read.
 		for vip, services := range h.byVIP {
 			if _, ok := next[vip]; !ok {
 				next[vip] = services
@@ -58,7 +59,7 @@
 	}
 	h.byVIP = next
 	h.version, h.previous = c.Version(), previous
-	h.follow(c.Version(), previous)
+	h.follow(c, previous)
 	return changed
 }
 
@@ -81,14 +82,19 @@
 	if c.Version() == h.version && previous > 0 {
 		h.previous = previous
 	}
-	h.follow(c.Version(), previous)
+	h.follow(c, previous)
 	return changed
 }
 
 // follow extends the record's coverage to a version whose services it contains, if it covers
 // the version before. previous is that version, 0 if unknown: then only the next number is
-// certain to have no version before it that is missing.
-func (h *history) follow(version, previous uint64) {
+// certain to have no version before it that is missing. The services of routes that could not
+// be read are missing.
+func (h *history) follow(c *route.Config, previous uint64) {
+	version := c.Version()
+	if c.Unreadable() > 0 {
+		return
+	}
 	if previous == 0 {
 		previous = version - 1
 	}
--- a/pkg/director/holders_test.go
+++ b/pkg/director/holders_test.go
@@ -21,6 +21,7 @@
 //	config 7 a b            version 7, which it follows on is not known, names services a and b
 //	config 7 after 5 a      version 7, which followed on 5, names service a
 //	config 7 none           version 7 has no route for the VIP
+//	config 7 unreadable     version 7 has one route, which could not be read
 //	merge 7 a b             a record that is complete through 7 names services a and b
 //	at 60000                the time in milliseconds, with ticks until then
 //	complete, incomplete    whether a search may prove that no agent holds a flow
@@ -58,6 +59,10 @@
 			p.d.SetNextConfig(route.New(version, nil), previous)
 			return
 		}
+		if services[0] == "unreadable" {
+			p.d.SetNextConfig(route.New(version, nil, route.WithUnreadable(1)), previous)
+			return
+		}
 		var shares []route.Share
 		for _, s := range services {
 			shares = append(shares, route.Share{Service: s, Weight: 1})
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -59,6 +59,7 @@
 		routes      map[netip.AddrPort]Route
 		services    map[string]Service
 		idleTimeout time.Duration
+		unreadable  int
 	}
 
 	// Option configures a Config.
@@ -78,6 +79,9 @@
 	}
 }
 
+// WithUnreadable sets the number of routes that the configuration has and that could not be read.
+func WithUnreadable(routes int) Option { return func(c *Config) { c.unreadable = routes } }
+
 // New returns a configuration. If several routes have the same VIP, the last one
 // applies.
 func New(version uint64, routes []Route, options ...Option) *Config {
@@ -97,6 +101,10 @@
 // Len returns the number of routes.
 func (c *Config) Len() int { return len(c.routes) }
 
+// Unreadable returns the number of routes that the configuration has and that could not be read.
+// Unless it is 0, a VIP that Lookup does not find may have a route.
+func (c *Config) Unreadable() int { return c.unreadable }
+
 // IdleTimeout returns the time without packets after which the load balancer may
 // remove a flow from its state, 0 if the configuration does not set it.
 func (c *Config) IdleTimeout() time.Duration { return c.idleTimeout }
