--- a/internal/fleet/saved_flows_test.go
+++ b/internal/fleet/saved_flows_test.go
@@ -31,7 +31,7 @@
 	is.NoErr(err)
 	// the budget for control traffic is 3 KB a second
 	is.True(float64(len(b)+putOverhead) <= 3*1024*flowsPause(len(b), 1, 0).Seconds())
-	got, err := decodeFlows(b)
+	got, _, err := decodeFlows(b)
 	is.NoErr(err)
 	is.Equal(len(got), len(flows))
 	seen := make(map[segment.Flow]director.FlowSnapshot)
@@ -41,7 +41,7 @@
 	for _, f := range flows {
 		is.Equal(seen[f.Flow], f)
 	}
-	_, err = decodeFlows([]byte("of another writer"))
+	_, _, err = decodeFlows([]byte("of another writer"))
 	is.True(err != nil)
 }
 
@@ -53,7 +53,7 @@
 	groups := []flowGroup{{VIP: vip, Owner: peer.Addr{10, 0, 0, 2}, Service: 9, Start: 3, Callers: []byte{100, 64, 0, 7, 4, 1, 0, 0, 0, 77}}}
 	value, err := cbor.Marshal(groups)
 	is.NoErr(err)
-	flows, err := decodeFlows(value)
+	flows, _, err := decodeFlows(value)
 	is.NoErr(err)
 	is.Equal(len(flows), 1)
 	is.True(!flows[0].Proven)
