Soak: a reset counts by the state at its arrival

The check that no flow is reset while its upstream runs asked the upstreams when the caller read the reset, which is up to a pause later. The upstreams are asked now when the reset arrives, and the error names the process that sent it, the flow, the time as in the logs, and the upstream.

--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
@@ -21,6 +22,8 @@
 	exchangeTimeout   = 2 * time.Second        // of an opening or a request, with its copies
 	requestInterval   = 250 * time.Millisecond // from the end of a request to the next one
 	basePort          = 1024                   // callers use the ports above it
+	inboxSize         = 64                     // packets that a caller has not read
+	timeFormat        = "15:04:05.000"         // of the processes' logs
 	// resetWindow is the largest distance, in bytes, between the sequence number
 	// of a reset and the number that the caller acknowledged last at which the
 	// reset is accepted. The platform's callers use the same value.
@@ -37,19 +40,29 @@
 		site     *site
 		conn     *net.UDPConn
 		mu       sync.Mutex
-		inboxes  map[segment.Flow]chan segment.Header
+		inboxes  map[segment.Flow]chan arrival
 		lastPort uint16 // of the flow that was opened last
 		// firstFlow is the flow that was opened first.
 		firstFlow segment.Flow
 
 		// The counts of Report.
 		requests, answered, lost, resets, broken int
+		brokenFlows                              []string // see Report.BrokenFlows
+	}
+
+	// arrival is a packet for a caller. Of a reset it also holds the state at that time: its
+	// caller may read it only before its next request.
+	arrival struct {
+		segment.Header
+		at      time.Time
+		from    netip.Addr        // the entry or agent that has sent it
+		holders map[uint32]string // see site.holders
 	}
 
 	// callerFlow is a flow that a caller keeps open.
 	callerFlow struct {
 		flow     segment.Flow
-		inbox    chan segment.Header
+		inbox    chan arrival
 		seq, ack uint32 // next sequence numbers of the caller and of the upstream
 		isn      uint32 // initial sequence number of the upstream
 		closed   bool   // the upstream closed the flow with its last response
@@ -61,22 +74,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open the callers' socket")
 	}
-	return &callers{site: s, conn: conn, inboxes: make(map[segment.Flow]chan segment.Header), lastPort: basePort}, nil
+	return &callers{site: s, conn: conn, inboxes: make(map[segment.Flow]chan arrival), lastPort: basePort}, nil
 }
 
 // receive passes packets to the inboxes of their flows until the socket is
 // closed.
 func (c *callers) receive() error {
-	return eachPacket(c.conn, func(b []byte) {
+	return eachPacket(c.conn, func(from netip.AddrPort, b []byte) {
 		h, err := platform.DecodeFromUpstream(b)
 		if err != nil {
 			return
 		}
+		got := arrival{Header: h, at: time.Now(), from: from.Addr().Unmap()}
+		if h.Has(segment.Reset) {
+			got.holders = c.site.holders(h.Flow)
+		}
 		c.mu.Lock()
 		inbox := c.inboxes[h.Flow]
 		c.mu.Unlock()
 		select {
-		case inbox <- h:
+		case inbox <- got:
 		default: // the flow is unknown or its inbox is full
 		}
 	})
@@ -117,9 +134,9 @@
 func (c *callers) wasReset(f *callerFlow) bool {
 	for {
 		select {
-		case h := <-f.inbox:
-			if f.resetBy(h) {
-				c.recordReset(f)
+		case got := <-f.inbox:
+			if f.resetBy(got.Header) {
+				c.recordReset(f, got)
 				return true
 			}
 		default:
@@ -142,7 +159,7 @@
 	c.mu.Lock()
 	c.lastPort++
 	flow := segment.NewFlow(netip.AddrPortFrom(c.site.host(callerHost), c.lastPort), vip)
-	f := &callerFlow{flow: flow, inbox: make(chan segment.Header, 8), seq: uint32(c.lastPort) << 12}
+	f := &callerFlow{flow: flow, inbox: make(chan arrival, inboxSize), seq: uint32(c.lastPort) << 12}
 	c.inboxes[flow] = f.inbox
 	if c.firstFlow == (segment.Flow{}) {
 		c.firstFlow = flow
@@ -183,12 +200,12 @@
 		for {
 			select {
 			case got := <-f.inbox:
-				if f.resetBy(got) {
-					c.recordReset(f)
-					return got, false
+				if f.resetBy(got.Header) {
+					c.recordReset(f, got)
+					return got.Header, false
 				}
-				if accepts(got) {
-					return got, true
+				if accepts(got.Header) {
+					return got.Header, true
 				}
 			case <-resend:
 				break wait
@@ -200,20 +217,25 @@
 }
 
 // recordReset counts the reset of a flow. It counts it as broken, too, if the
-// flow was open and a running upstream holds it.
-func (c *callers) recordReset(f *callerFlow) {
-	c.increment(&c.resets)
-	if f.ack != 0 && c.site.holds(f.flow, f.isn) {
-		c.increment(&c.broken)
-		c.site.log.Error("flow reset while a running upstream holds it", zap.Stringer("flow", f.flow))
+// flow was open and a running upstream held it when the reset arrived.
+func (c *callers) recordReset(f *callerFlow, reset arrival) {
+	holder, held := reset.holders[f.isn]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets++
+	if f.ack == 0 || !held {
+		return
 	}
+	c.broken++
+	c.brokenFlows = append(c.brokenFlows, fmt.Sprintf("%s reset flow %s at %s, which upstream %s held",
+		processAt(reset.from), f.flow, reset.at.Format(timeFormat), holder))
 }
 
 // report returns the counts of the callers and the first flow.
 func (c *callers) report() Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Report{Requests: c.requests, Answered: c.answered, Lost: c.lost, Resets: c.resets, Broken: c.broken, FirstFlow: c.firstFlow.String()}
+	return Report{Requests: c.requests, Answered: c.answered, Lost: c.lost, Resets: c.resets, Broken: c.broken, BrokenFlows: slices.Clone(c.brokenFlows), FirstFlow: c.firstFlow.String()}
 }
 
 func (c *callers) increment(n *int) {
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -55,6 +55,8 @@
 		Resets int `json:"resets"`
 		// Broken counts the resets of flows that a running upstream held.
 		Broken int `json:"broken"`
+		// BrokenFlows says for each of them which process reset it, and when.
+		BrokenFlows []string `json:"broken-flows,omitempty"`
 		// OpenedWhileEvacuated counts the flows that upstreams of an evacuated failure
 		// domain accepted after the bound.
 		OpenedWhileEvacuated int `json:"opened-while-evacuated"`
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -295,17 +296,27 @@
 	return s.addrPort(best.address, portPackets), true
 }
 
-// holds reports whether a running upstream holds the flow with isn as its own
-// initial sequence number: the upstream that accepted the caller's opening.
-func (s *site) holds(flow segment.Flow, isn uint32) bool {
+// holders returns the running upstreams that hold the flow, by the initial sequence number
+// of each. Several may have accepted copies of one opening.
+func (s *site) holders(flow segment.Flow) map[uint32]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	holders := make(map[uint32]string)
 	for _, u := range s.upstreams {
-		if u.holds(flow, isn) {
-			return true
+		if isn, id, ok := u.holds(flow); ok {
+			holders[isn] = id
 		}
 	}
-	return false
+	return holders
+}
+
+// processAt returns the name of the entry or agent at an address.
+func processAt(a netip.Addr) string {
+	role := roleEntry
+	if a.As4()[3] >= firstUpstream {
+		role = roleAgent
+	}
+	return fmt.Sprintf("%s %s", role, a)
 }
 
 // readyEntries returns the number of entries in rotation.
@@ -321,19 +332,19 @@
 	return n
 }
 
-// eachPacket calls f for each datagram until the socket is closed. The buffer is
-// reused: f must not retain it.
-func eachPacket(conn *net.UDPConn, f func(b []byte)) error {
+// eachPacket calls f for each datagram, with its sender, until the socket is closed. The
+// buffer is reused: f must not retain it.
+func eachPacket(conn *net.UDPConn, f func(from netip.AddrPort, b []byte)) error {
 	buf := make([]byte, platform.MaxPacket)
 	for {
-		n, _, err := conn.ReadFromUDP(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			continue // such as an ICMP error for an earlier datagram
 		}
-		f(buf[:n])
+		f(from, buf[:n])
 	}
 }
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -128,8 +129,8 @@
 	}
 	var failure error
 	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.Repeated > 0 || lost > 0 {
-		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time",
-			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost)
+		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
+			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n"))
 	}
 	if c.HTMLReport != nil {
 		err = k.timeline.writeReport(c.HTMLReport, fmt.Sprintf("Soak, seed %d", c.Seed), report, failure)
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -134,13 +135,16 @@
 	return err
 }
 
-// holds reports whether the upstream runs and holds the flow with the given
-// initial sequence number of its own.
-func (u *upstream) holds(flow segment.Flow, isn uint32) bool {
+// holds reports whether the upstream runs and holds the flow, and returns its initial
+// sequence number of the flow and its id.
+func (u *upstream) holds(flow segment.Flow) (isn uint32, id string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	f := u.flows[flow]
-	return !u.terminated && f != nil && f.isn == isn
+	if u.terminated || f == nil {
+		return 0, "", false
+	}
+	return f.isn, u.id, true
 }
 
 // flowCount returns the number of flows that the upstream holds.
@@ -230,7 +234,7 @@
 
 // serve handles packets until the socket is closed.
 func (u *upstream) serve() error {
-	return eachPacket(u.conn, func(b []byte) {
+	return eachPacket(u.conn, func(_ netip.AddrPort, b []byte) {
 		response, err := u.handlePacket(b)
 		if err != nil || response == nil {
 			return // malformed, or without a response
--- a/internal/fleetdemo/upstream_test.go
+++ b/internal/fleetdemo/upstream_test.go
@@ -51,7 +51,10 @@
 	u.mu.Lock()
 	u.flows[segment.Flow{}] = &heldFlow{isn: 7}
 	u.mu.Unlock()
-	is.True(u.holds(segment.Flow{}, 7))
+	isn, _, ok := u.holds(segment.Flow{})
+	is.True(ok)
+	is.Equal(isn, uint32(7))
 	crashes.Wait()
-	is.True(!u.holds(segment.Flow{}, 7))
+	_, _, ok = u.holds(segment.Flow{})
+	is.True(!ok)
 }
