Soak: upstreams flap while entries and agents restart

Its upstreams kept their id and their health checks over a crash, so that an agent never found one ended; it answered each opening at once and once; its callers sent every 0.25 s; and faults hit one process at a time.

With -flaps, series of restarts of upstreams overlap with rounds in which entries or agents restart, in turn or together, by SIGTERM or SIGKILL. Each start of an upstream has an id of its own, and heartbeats have no time of the start, as those of the sites; connections are refused until it is back, in most cases before its agent looks. Some starts are slow for a time: an answer may come after that of another upstream that has accepted a copy of the opening, and each repeats its answer until the caller acknowledges it. Callers pause for up to 3 s. The seed also chooses the heartbeat interval, and routers that select entries by remainder, so that flows move when an entry restarts. With -late-heartbeats, too, the first heartbeat of some starts is late.

Faults are printed with their time. The faults of a seed without -flaps are those of before.

--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -28,8 +28,11 @@
 	// of a reset and the number that the caller acknowledged last at which the
 	// reset is accepted. The platform's callers use the same value.
 	resetWindow = 76800
-	// reopenShare is the share of requests after which a caller of a route that moves opens
-	// another flow: flows must be placed on each of its services.
+	// maxRequestPause bounds the pause between two requests if upstreams flap: flows rest
+	// while processes restart.
+	maxRequestPause = 3 * time.Second
+	// reopenShare is the share of requests after which a caller opens another flow if the route
+	// moves or upstreams flap: flows must be placed on each service and at each start.
 	reopenShare = 0.15
 )
 
@@ -100,12 +103,13 @@
 }
 
 // run sends requests on one flow until the context ends. It opens another flow when that is
-// reset or closed, when a request is lost and, if the route moves, after some requests.
+// reset or closed, when a request is lost and, if the route moves or upstreams flap, after some
+// requests.
 func (c *callers) run(ctx context.Context) error {
 	var f *callerFlow
 	for ctx.Err() == nil {
 		ok := true
-		if f != nil && (f.closed || c.wasReset(f) || c.site.moves && rand.Float64() < reopenShare) {
+		if f != nil && (f.closed || c.wasReset(f) || (c.site.moves || c.site.flaps) && rand.Float64() < reopenShare) {
 			f = nil
 		}
 		if f == nil {
@@ -121,9 +125,13 @@
 			c.increment(&c.lost)
 			f = nil
 		}
+		pause := requestInterval
+		if c.site.flaps {
+			pause = rand.N(maxRequestPause)
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(requestInterval):
+		case <-time.After(pause):
 		}
 	}
 	return nil
--- a/internal/fleetdemo/callers_test.go
+++ b/internal/fleetdemo/callers_test.go
@@ -30,7 +30,7 @@
 
 	f := &callerFlow{flow: segment.NewFlow(netip.MustParseAddrPort("100.64.0.7:1025"), vip), inbox: make(chan arrival, inboxSize), isn: 7, ack: 8}
 	c.inboxes[f.flow] = f.inbox
-	u := &upstream{site: s, id: "u-0", flows: map[segment.Flow]*heldFlow{f.flow: {isn: f.isn}}}
+	u := &upstream{site: s, id: "u-0", flows: map[segment.Flow]*heldFlow{f.flow: {isn: f.isn, open: true}}}
 	s.upstreams = []*upstream{u}
 	sendReset := func() {
 		_, err := entry.Write(platform.EncodeReset(f.flow, f.ack))
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -172,7 +172,7 @@
 		return err
 	}
 	r.upstreams = append(r.upstreams, added)
-	r.printf("upstream %s starts, %s drains and stops", added.id, r.upstreams[0].id)
+	r.printf("upstream %s starts, %s drains and stops", added.name, r.upstreams[0].name)
 	old := r.upstreams[0]
 	r.upstreams = r.upstreams[1:]
 	if err := old.drainAndStop(drainTime); err != nil {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -2,7 +2,7 @@
 // stand-in of the store, entries and agents with their sockets, upstreams that
 // hold flows, callers that keep flows open, and the routers between them. Run
 // keeps everything in this process. Soak runs entries and agents as processes of
-// their own and injects faults.
+// their own and injects faults, SoakConfig names the kinds.
 //
 // # Usage
 //
@@ -90,6 +90,12 @@
 		operatorConfig operatorConfig
 		// moves is set if the route moves between services during the run.
 		moves bool
+		// flaps is set if upstreams flap during the run. heartbeats is the interval of theirs.
+		flaps      bool
+		heartbeats time.Duration
+		// modulo makes the routers choose an entry by the remainder of the hash: if one joins
+		// or leaves, nearly all flows move.
+		modulo bool
 
 		mu        sync.Mutex
 		entries   []*entryHost
@@ -128,7 +134,7 @@
 // newSite starts the store with a configuration that routes vip to the service. The site uses
 // the first network from the given one that no other site on this machine uses.
 func newSite(network byte, log *zap.Logger) (*site, error) {
-	s := &site{network: network, store: kvstandin.New(), log: log, requests: requestLog{ran: make(map[requestID]bool)}}
+	s := &site{network: network, store: kvstandin.New(), log: log, heartbeats: heartbeatInterval, requests: requestLog{ran: make(map[requestID]bool)}}
 	s.startProcess = s.runInProcess
 	if err := s.reserveNetwork(); err != nil {
 		return nil, err
@@ -185,7 +191,7 @@
 		Node: host.String(), Address: host, FailureDomain: mainDomain, Service: service,
 		DatagramAddress: s.addrPort(host, portPackets), ReadyAddress: s.addrPort(host, portReady), ControlAddress: s.addrPort(host, portControl),
 		OutboundAddress: s.addrPort(host, portFromUpstream), UpstreamAddress: s.addrPort(host, portUpstream),
-		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: heartbeatInterval,
+		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: s.heartbeats,
 		Grace: 6 * time.Second, ConfigApply: 3 * time.Second, FlowLifetime: time.Minute, LeaseMin: time.Second,
 		EvacuateWithin: evacuationBound,
 	}
@@ -277,22 +283,30 @@
 }
 
 // routeFlow returns the address to which the routers send the packets of a flow:
-// that of the entry in rotation that rendezvous hashing selects. It returns false
+// that of the entry in rotation that the hash of the flow selects. It returns false
 // if no entry is in rotation.
 func (s *site) routeFlow(flow segment.Flow) (netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var ready []*entryHost
 	var best *entryHost
 	var score uint64
 	for _, e := range s.entries {
+		if !e.ready {
+			continue
+		}
+		ready = append(ready, e)
 		a := e.address.As4()
-		if h := rendezvous.Hash(flow.Hash(), uint64(a[3])); e.ready && (best == nil || h > score) {
+		if h := rendezvous.Hash(flow.Hash(), uint64(a[3])); best == nil || h > score {
 			best, score = e, h
 		}
 	}
 	if best == nil {
 		return netip.AddrPort{}, false
 	}
+	if s.modulo {
+		best = ready[flow.Hash()%uint64(len(ready))]
+	}
 	return s.addrPort(best.address, portPackets), true
 }
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -53,6 +53,13 @@
 		// Moves moves the route to another service, that of every second upstream, and back in
 		// quick succession at random times. The version rises in uneven steps.
 		Moves bool
+		// Flaps restarts upstreams in quick succession, under a new id each time, and makes
+		// them slow, while entries and agents restart in turn or together. The seed also
+		// chooses the heartbeat interval and how the routers select entries.
+		Flaps bool
+		// LateHeartbeats makes the first heartbeat of some of these starts late: flows open
+		// before it.
+		LateHeartbeats bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -104,7 +111,11 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
-	s.moves = c.Moves
+	s.moves, s.flaps = c.Moves, c.Flaps
+	if c.Flaps {
+		s.heartbeats = flapHeartbeats[c.Seed%uint64(len(flapHeartbeats))]
+		s.modulo = c.Seed%2 == 1
+	}
 	k := &soak{runner: *newRunner(c.Config, s), random: rand.New(rand.NewPCG(c.Seed, 1))}
 	s.startProcess = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
@@ -159,6 +170,9 @@
 	if c.Evacuations {
 		running.Go(func() { k.evacuateUntil(end, rand.New(rand.NewPCG(c.Seed, 3))) })
 	}
+	if c.Flaps {
+		k.startFlaps(&running, c, end)
+	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
 		k.announceFault(name)
@@ -170,9 +184,9 @@
 	return nil
 }
 
-// announceFault prints a fault and adds it to the report.
+// announceFault prints a fault with its time and adds it to the report.
 func (k *soak) announceFault(name string) {
-	k.printf("%s", name)
+	k.printf("%s %s", time.Now().Format(timeFormat), name)
 	k.timeline.addFault(name)
 }
 
@@ -229,12 +243,12 @@
 			c.proxy.setFault(noFault)
 		}
 	case 8:
-		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.id, duration), func() {
+		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.name, duration), func() {
 			c.proxy.resetConns()
 			u.crash(duration)
 		}
 	case 9:
-		return fmt.Sprintf("upstream %s resets its flows for %s", u.id, duration), func() { u.fail(duration) }
+		return fmt.Sprintf("upstream %s resets its flows for %s", u.name, duration), func() { u.fail(duration) }
 	case 10:
 		other := k.children[k.random.IntN(len(k.children))]
 		gap := k.randomDuration(maxStopGap)
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -26,23 +26,31 @@
 	// immediately, and bounces packets of flows that it does not hold.
 	upstream struct {
 		site       *site
-		id         string
+		name       string // of all its starts
 		settings   *platform.Settings
 		conn       *net.UDPConn
-		health     *http.Server
+		health     healthCheck
 		random     *rand.Rand // of initial sequence numbers
 		stopAgent  func() error
 		cancel     context.CancelFunc // ends the heartbeats
 		taskErrors []chan error       // receives the error of each task at its end
-		draining   chan struct{}      // closed when the upstream begins to drain
+		wake       chan struct{}      // receives a value when a heartbeat is due at once
+		restarts   sync.Mutex         // held during a restart
 
 		mu         sync.Mutex
+		id         string // of the present start
+		starts     int
 		flows      map[segment.Flow]*heldFlow
-		terminated bool  // ended for good
-		born       int64 // start time in Unix milliseconds
-		heartbeats int   // since that start
-		down       bool  // crashed: neither answers packets nor sends heartbeats, but passes health checks
-		failing    bool  // resets each flow at its next request
+		terminated bool      // ended for good
+		born       int64     // start time in Unix milliseconds
+		heartbeats int       // since that start
+		draining   bool      // accepts flows and ends each with its next response
+		down       bool      // ended: neither answers packets nor sends heartbeats
+		silent     time.Time // until then it sends no heartbeats
+		failing    bool      // resets each flow at its next request
+		// delay is the time by which its packets are late, delayed those that are not sent yet.
+		delay   time.Duration
+		delayed []delayedPacket
 	}
 
 	// heldFlow is the state of a flow at an upstream: its own initial and next
@@ -53,6 +61,9 @@
 		open                  bool
 		isn, nextSeq, wantSeq uint32
 		last                  []byte
+		// Until the flow is open, the answer to the opening is repeated at this time.
+		repeatAt time.Time
+		repeated int
 	}
 )
 
@@ -69,32 +80,28 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open the upstream's socket")
 	}
-	listener, err := net.Listen("tcp4", settings.UpstreamAddress.String())
-	if err != nil {
-		return nil, errors.Join(errors.Wrap(err, "listen for the upstream's health checks"), conn.Close())
+	name := fmt.Sprintf("u-%d", n)
+	u := &upstream{
+		site: s, name: name, id: name, settings: settings, conn: conn, wake: make(chan struct{}, 1),
+		random: rand.New(rand.NewPCG(seed, uint64(n))), flows: make(map[segment.Flow]*heldFlow), born: time.Now().UnixMilli(),
+	}
+	if err := u.health.start(settings.UpstreamAddress); err != nil {
+		return nil, errors.Join(err, conn.Close())
 	}
 	stopAgent, err := s.startProcess(roleAgent, settings)
 	if err != nil {
-		return nil, errors.Join(err, conn.Close(), listener.Close())
+		return nil, errors.Join(err, conn.Close(), u.health.stop())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	u := &upstream{
-		site: s, id: fmt.Sprintf("u-%d", n), settings: settings, conn: conn, cancel: cancel,
-		health: &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
-		random: rand.New(rand.NewPCG(seed, uint64(n))), draining: make(chan struct{}), flows: make(map[segment.Flow]*heldFlow), born: time.Now().UnixMilli(),
-	}
-	u.stopAgent = stopAgent
+	u.cancel, u.stopAgent = cancel, stopAgent
 	s.mu.Lock()
 	s.upstreams = append(s.upstreams, u)
 	s.mu.Unlock()
 	u.startTask(func() error { return u.serve() })
 	u.startTask(func() error { return u.sendHeartbeats(ctx) })
-	u.startTask(func() error {
-		if err := u.health.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve the upstream's health checks")
-		}
-		return nil
-	})
+	if s.flaps {
+		u.startTask(func() error { return u.sendLatePackets(ctx) })
+	}
 	return u, nil
 }
 
@@ -108,14 +115,14 @@
 // drainAndStop drains the upstream for the given time, ends it and stops its
 // agent.
 func (u *upstream) drainAndStop(after time.Duration) error {
-	close(u.draining)
+	u.drain()
 	time.Sleep(after)
 	return u.stop()
 }
 
 // stop deregisters the upstream, ends it and stops its agent.
 func (u *upstream) stop() error {
-	u.callAgent(http.MethodDelete, "")
+	u.callAgent(http.MethodDelete, u.currentID(), "")
 	err := u.terminate()
 	time.Sleep(probeInterval) // for the agent to reset the open flows
 	return errors.Join(err, u.stopAgent())
@@ -128,7 +135,7 @@
 	u.terminated = true
 	u.mu.Unlock()
 	u.cancel()
-	err := errors.Join(u.conn.Close(), u.health.Close())
+	err := errors.Join(u.conn.Close(), u.health.stop())
 	for _, done := range u.taskErrors {
 		err = errors.Join(err, <-done)
 	}
@@ -136,7 +143,7 @@
 }
 
 // holds reports whether the upstream runs and holds the flow, and returns its initial
-// sequence number of the flow and its id.
+// sequence number of the flow and its id, with a note if the flow is not open yet.
 func (u *upstream) holds(flow segment.Flow) (isn uint32, id string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -144,6 +151,9 @@
 	if u.terminated || f == nil {
 		return 0, "", false
 	}
+	if !f.open {
+		return f.isn, u.id + ", unacknowledged,", true
+	}
 	return f.isn, u.id, true
 }
 
@@ -154,40 +164,71 @@
 	return len(u.flows)
 }
 
-// sendHeartbeats sends a heartbeat to the agent every heartbeatInterval, and at
-// once when draining begins, until the context ends.
+// sendHeartbeats sends a heartbeat to the agent every heartbeat interval, and at
+// once when draining or a new start begins, until the context ends.
 func (u *upstream) sendHeartbeats(ctx context.Context) error {
 	for ctx.Err() == nil {
-		state := "ready"
-		draining := u.draining
-		if u.isDraining() {
-			state, draining = "draining", nil
-		}
-		if body, up := u.nextHeartbeat(state); up {
-			u.callAgent(http.MethodPut, body)
+		if id, body, due := u.nextHeartbeat(); due {
+			u.callAgent(http.MethodPut, id, body)
 		}
 		select {
 		case <-ctx.Done():
-		case <-draining:
-		case <-time.After(heartbeatInterval):
+		case <-u.wake:
+		case <-time.After(u.settings.HeartbeatInterval):
 		}
 	}
 	return nil
 }
 
-// nextHeartbeat returns the JSON body of the next heartbeat with a state, and
-// false while the upstream is down.
-func (u *upstream) nextHeartbeat(state string) (string, bool) {
+// sendHeartbeat lets sendHeartbeats send one at once.
+func (u *upstream) sendHeartbeat() {
+	select {
+	case u.wake <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+// nextHeartbeat returns the id of the upstream and the JSON body of its next heartbeat, and
+// false while it sends none. A start with an id of its own does not report its time.
+func (u *upstream) nextHeartbeat() (id, body string, due bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.down || time.Now().Before(u.silent) {
+		return "", "", false
+	}
 	u.heartbeats++
-	return fmt.Sprintf(`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
-		u.settings.Service, slots, state, u.heartbeats, u.born), !u.down
+	state, born := "ready", u.born
+	if u.draining {
+		state = "draining"
+	}
+	if u.site.flaps {
+		born = 0
+	}
+	return u.id, fmt.Sprintf(`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
+		u.settings.Service, slots, state, u.heartbeats, born), true
 }
 
-// crash drops the upstream's flows and starts it again, with the same id, after
-// the time down. It returns after the restart.
+// drain makes the upstream end each flow with its next response.
+func (u *upstream) drain() {
+	u.mu.Lock()
+	u.draining = true
+	u.mu.Unlock()
+	u.sendHeartbeat()
+}
+
+func (u *upstream) currentID() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id
+}
+
+// crash drops the upstream's flows and starts it again after the time down, with the same id
+// and without failing health checks, unless upstreams flap. It returns after the restart.
 func (u *upstream) crash(down time.Duration) {
+	if u.site.flaps {
+		u.restart(down, 0)
+		return
+	}
 	u.mu.Lock()
 	u.down, u.flows = true, make(map[segment.Flow]*heldFlow)
 	u.mu.Unlock()
@@ -214,15 +255,15 @@
 	u.failing = failing
 }
 
-// callAgent sends an HTTP request to the agent's path for this upstream: PUT for a
+// callAgent sends an HTTP request to the agent's path for a start of the upstream: PUT for a
 // heartbeat, DELETE to deregister it.
-func (u *upstream) callAgent(method, body string) {
-	req, err := http.NewRequest(method, "http://"+u.settings.ControlAddress.String()+"/instances/"+u.id, strings.NewReader(body))
+func (u *upstream) callAgent(method, id, body string) {
+	req, err := http.NewRequest(method, "http://"+u.settings.ControlAddress.String()+"/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		u.site.log.Error("request to the agent not created", zap.Error(err))
 		return
 	}
-	client := &http.Client{Timeout: heartbeatInterval}
+	client := &http.Client{Timeout: u.settings.HeartbeatInterval}
 	resp, err := client.Do(req)
 	if err != nil {
 		return // the agent may be restarting; the next heartbeat repeats the state
@@ -236,15 +277,20 @@
 func (u *upstream) serve() error {
 	return eachPacket(u.conn, func(_ netip.AddrPort, b []byte) {
 		response, err := u.handlePacket(b)
-		if err != nil || response == nil {
-			return // malformed, or without a response
-		}
-		if _, err := u.conn.WriteToUDPAddrPort(response, u.settings.OutboundAddress); err != nil && !errors.Is(err, net.ErrClosed) {
-			u.site.log.Error("upstream's response not sent", zap.Error(err))
+		if err != nil || response == nil || u.delayPacket(response) {
+			return // malformed, without a response, or it is sent later
 		}
+		u.send(response)
 	})
 }
 
+// send sends a packet to the agent.
+func (u *upstream) send(packet []byte) {
+	if _, err := u.conn.WriteToUDPAddrPort(packet, u.settings.OutboundAddress); err != nil && !errors.Is(err, net.ErrClosed) {
+		u.site.log.Error("upstream's response not sent", zap.Error(err))
+	}
+}
+
 // handlePacket handles a packet from the agent and returns the packet to send
 // back, nil if there is none.
 func (u *upstream) handlePacket(b []byte) ([]byte, error) {
@@ -263,7 +309,7 @@
 		delete(u.flows, h.Flow)
 		return u.packet(h.Flow, segment.Reset, f.nextSeq, 0, 0), nil
 	case h.Opens() && f == nil:
-		f = &heldFlow{isn: u.random.Uint32(), wantSeq: h.Sequence + 1}
+		f = &heldFlow{isn: u.random.Uint32(), wantSeq: h.Sequence + 1, repeatAt: time.Now().Add(answerRepeat)}
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
 		u.site.checkOpening(u.settings.FailureDomain)
@@ -285,7 +331,7 @@
 	f.open = true
 	f.wantSeq += uint32(h.Length)
 	flags := segment.Ack
-	if u.isDraining() {
+	if u.draining {
 		delete(u.flows, h.Flow)
 		flags |= segment.Fin // the caller opens its next flow at another upstream
 	}
@@ -294,15 +340,6 @@
 	return f.last, nil
 }
 
-func (u *upstream) isDraining() bool {
-	select {
-	case <-u.draining:
-		return true
-	default:
-		return false
-	}
-}
-
 // packet returns an encoded packet of the upstream.
 func (u *upstream) packet(flow segment.Flow, flags segment.Flags, seq, ack uint32, length uint16) []byte {
 	return platform.EncodePacket(segment.Header{Flow: flow, Flags: flags, Sequence: seq, Acknowledged: ack, Length: length}, true)
--- a/internal/fleetdemo/upstream_test.go
+++ b/internal/fleetdemo/upstream_test.go
@@ -44,7 +44,7 @@
 // that the upstream had accepted after the restart of the shorter one.
 func TestOverlappingCrashes(t *testing.T) {
 	is := is.New(t)
-	u := &upstream{flows: make(map[segment.Flow]*heldFlow)}
+	u := &upstream{site: &site{}, flows: make(map[segment.Flow]*heldFlow)}
 	var crashes sync.WaitGroup
 	crashes.Go(func() { u.crash(300 * time.Millisecond) })
 	u.crash(0)
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -30,6 +30,9 @@
                  upstream, and withdraws it every few seconds
   -moves         moves the route to another service, that of every second upstream,
                  and back in quick succession every second or so
+  -flaps         upstreams flap, each start under a new id, and turn slow, while entries
+                 and agents restart in turn or together; callers pause between requests
+  -late-heartbeats  with -flaps, the first heartbeat of some starts comes late
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
@@ -46,6 +49,8 @@
 	storeRestores bool
 	evacuations   bool
 	moves         bool
+	flaps         bool
+	late          bool
 	callers       int
 	network       int
 	entries       int
@@ -61,6 +66,8 @@
 	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
 	flags.BoolVar(&r.evacuations, "evacuations", false, "")
 	flags.BoolVar(&r.moves, "moves", false, "")
+	flags.BoolVar(&r.flaps, "flaps", false, "")
+	flags.BoolVar(&r.late, "late-heartbeats", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
@@ -69,6 +76,9 @@
 	if err := parseFlags(flags, args, 0); err != nil {
 		return nil, err
 	}
+	if r.late && !r.flaps {
+		return nil, &usageError{err: errors.New("platform soak: -late-heartbeats needs -flaps")}
+	}
 	if r.callers < 1 || r.callers > maxDemoCallers || r.network < 1 || r.network > maxNetwork {
 		return nil, &usageError{err: errDemoRange}
 	}
@@ -100,7 +110,8 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, HTMLReport: page,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, Flaps: r.flaps, LateHeartbeats: r.late,
+		HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
