--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -41,6 +41,8 @@
 	maxRoundPause = 3 * time.Second
 	maxRoundGap   = 1200 * time.Millisecond
 	maxRound      = 6
+	// maxRounds bounds the rounds that run at the same time.
+	maxRounds = 3
 	// flappingUpstreams is the number of upstreams of which one flaps at a time.
 	flappingUpstreams = 3
 	// answerRepeat is the time after which an upstream repeats its answer to an opening, which
@@ -206,7 +208,7 @@
 	for n := range 1 + len(k.upstreams)/flappingUpstreams {
 		running.Go(func() { k.flapUntil(end, c.LateHeartbeats, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n)))) })
 	}
-	for n := range 1 + len(k.children)/(2*maxRound) {
+	for n := range min(maxRounds, 1+len(k.children)/(2*maxRound)) {
 		running.Go(func() { k.restartRoundsUntil(end, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n+1)))) })
 	}
 }
