--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -55,6 +55,8 @@
 		Resets int `json:"resets"`
 		// Broken counts the resets of flows that a running upstream held.
 		Broken int `json:"broken"`
+		// BrokenFlows says for each of them which process reset it, and when.
+		BrokenFlows []string `json:"broken-flows,omitempty"`
 		// OpenedWhileEvacuated counts the flows that upstreams of an evacuated failure
 		// domain accepted after the bound.
 		OpenedWhileEvacuated int `json:"opened-while-evacuated"`
@@ -170,7 +172,7 @@
 		return err
 	}
 	r.upstreams = append(r.upstreams, added)
-	r.printf("upstream %s starts, %s drains and stops", added.id, r.upstreams[0].id)
+	r.printf("upstream %s starts, %s drains and stops", added.name, r.upstreams[0].name)
 	old := r.upstreams[0]
 	r.upstreams = r.upstreams[1:]
 	if err := old.drainAndStop(drainTime); err != nil {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -2,7 +2,7 @@
 // stand-in of the store, entries and agents with their sockets, upstreams that
 // hold flows, callers that keep flows open, and the routers between them. Run
 // keeps everything in this process. Soak runs entries and agents as processes of
-// their own and injects faults.
+// their own and injects faults, SoakConfig names the kinds.
 //
 // # Usage
 //
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -89,6 +90,12 @@
 		operatorConfig operatorConfig
 		// moves is set if the route moves between services during the run.
 		moves bool
+		// flaps is set if upstreams flap during the run. heartbeats is the interval of theirs.
+		flaps      bool
+		heartbeats time.Duration
+		// modulo makes the routers choose an entry by the remainder of the hash: if one joins
+		// or leaves, nearly all flows move.
+		modulo bool
 
 		mu        sync.Mutex
 		entries   []*entryHost
@@ -127,7 +134,7 @@
 // newSite starts the store with a configuration that routes vip to the service. The site uses
 // the first network from the given one that no other site on this machine uses.
 func newSite(network byte, log *zap.Logger) (*site, error) {
-	s := &site{network: network, store: kvstandin.New(), log: log, requests: requestLog{ran: make(map[requestID]bool)}}
+	s := &site{network: network, store: kvstandin.New(), log: log, heartbeats: heartbeatInterval, requests: requestLog{ran: make(map[requestID]bool)}}
 	s.startProcess = s.runInProcess
 	if err := s.reserveNetwork(); err != nil {
 		return nil, err
@@ -184,7 +191,7 @@
 		Node: host.String(), Address: host, FailureDomain: mainDomain, Service: service,
 		DatagramAddress: s.addrPort(host, portPackets), ReadyAddress: s.addrPort(host, portReady), ControlAddress: s.addrPort(host, portControl),
 		OutboundAddress: s.addrPort(host, portFromUpstream), UpstreamAddress: s.addrPort(host, portUpstream),
-		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: heartbeatInterval,
+		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: s.heartbeats,
 		Grace: 6 * time.Second, ConfigApply: 3 * time.Second, FlowLifetime: time.Minute, LeaseMin: time.Second,
 		EvacuateWithin: evacuationBound,
 	}
@@ -276,36 +283,54 @@
 }
 
 // routeFlow returns the address to which the routers send the packets of a flow:
-// that of the entry in rotation that rendezvous hashing selects. It returns false
+// that of the entry in rotation that the hash of the flow selects. It returns false
 // if no entry is in rotation.
 func (s *site) routeFlow(flow segment.Flow) (netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var ready []*entryHost
 	var best *entryHost
 	var score uint64
 	for _, e := range s.entries {
+		if !e.ready {
+			continue
+		}
+		ready = append(ready, e)
 		a := e.address.As4()
-		if h := rendezvous.Hash(flow.Hash(), uint64(a[3])); e.ready && (best == nil || h > score) {
+		if h := rendezvous.Hash(flow.Hash(), uint64(a[3])); best == nil || h > score {
 			best, score = e, h
 		}
 	}
 	if best == nil {
 		return netip.AddrPort{}, false
 	}
+	if s.modulo {
+		best = ready[flow.Hash()%uint64(len(ready))]
+	}
 	return s.addrPort(best.address, portPackets), true
 }
 
-// holds reports whether a running upstream holds the flow with isn as its own
-// initial sequence number: the upstream that accepted the caller's opening.
-func (s *site) holds(flow segment.Flow, isn uint32) bool {
+// holders returns the running upstreams that hold the flow, by the initial sequence number
+// of each. Several may have accepted copies of one opening.
+func (s *site) holders(flow segment.Flow) map[uint32]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	holders := make(map[uint32]string)
 	for _, u := range s.upstreams {
-		if u.holds(flow, isn) {
-			return true
+		if isn, id, ok := u.holds(flow); ok {
+			holders[isn] = id
 		}
 	}
-	return false
+	return holders
+}
+
+// processAt returns the name of the entry or agent at an address.
+func processAt(a netip.Addr) string {
+	role := roleEntry
+	if a.As4()[3] >= firstUpstream {
+		role = roleAgent
+	}
+	return fmt.Sprintf("%s %s", role, a)
 }
 
 // readyEntries returns the number of entries in rotation.
@@ -321,19 +346,19 @@
 	return n
 }
 
-// eachPacket calls f for each datagram until the socket is closed. The buffer is
-// reused: f must not retain it.
-func eachPacket(conn *net.UDPConn, f func(b []byte)) error {
+// eachPacket calls f for each datagram, with its sender, until the socket is closed. The
+// buffer is reused: f must not retain it.
+func eachPacket(conn *net.UDPConn, f func(from netip.AddrPort, b []byte)) error {
 	buf := make([]byte, platform.MaxPacket)
 	for {
-		n, _, err := conn.ReadFromUDP(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			continue // such as an ICMP error for an earlier datagram
 		}
-		f(buf[:n])
+		f(from, buf[:n])
 	}
 }
 
--- a/internal/fleetdemo/upstream_test.go
+++ b/internal/fleetdemo/upstream_test.go
@@ -44,14 +44,17 @@
 // that the upstream had accepted after the restart of the shorter one.
 func TestOverlappingCrashes(t *testing.T) {
 	is := is.New(t)
-	u := &upstream{flows: make(map[segment.Flow]*heldFlow)}
+	u := &upstream{site: &site{}, flows: make(map[segment.Flow]*heldFlow)}
 	var crashes sync.WaitGroup
 	crashes.Go(func() { u.crash(300 * time.Millisecond) })
 	u.crash(0)
 	u.mu.Lock()
 	u.flows[segment.Flow{}] = &heldFlow{isn: 7}
 	u.mu.Unlock()
-	is.True(u.holds(segment.Flow{}, 7))
+	isn, _, ok := u.holds(segment.Flow{})
+	is.True(ok)
+	is.Equal(isn, uint32(7))
 	crashes.Wait()
-	is.True(!u.holds(segment.Flow{}, 7))
+	_, _, ok = u.holds(segment.Flow{})
+	is.True(!ok)
 }
