A list of agents that is absent proves nothing after the first start

All entries had been killed before any had written the list of agents to the store, which then was down for a while. The next ones took the absent list for one without agents, counted as settled 0.6 s after their start, and took a search through the seven agents that had reported until then for complete. The eighth, which held the flow, reported 0.07 s later.

Cause: no list and an empty list were the same. Only at the first start of the platform does an absent list say that there are no agents of earlier processes; the settings tell that start from all others. At any other, the agents are unknown until another entry names them or 10 s have passed, as for a list that cannot be read. The same holds for an absent record of the flow holders: it is complete when the flows of earlier processes have passed their lifetime.

The soak's processes say that it is the first start only when they are first started.

--- a/internal/fleet/discover.go
+++ b/internal/fleet/discover.go
@@ -115,13 +115,14 @@
 	return nil
 }
 
-// setRegistered passes on the registered agents. If the list lacks some, those of the last
+// setRegistered passes on the registered agents. If the list lacks some, as one that no entry
+// has written before all processes were killed and unlike that of a first start, those of the last
 // complete one stay registered. Without any complete one, from the store or from another entry,
 // the registered agents are unknown until unknownAgentsWait has ended: no search proves
 // before that no agent holds a flow.
 func (e *Entry) setRegistered(r registry) {
 	d := &e.discovery
-	if !r.agentsUnknown {
+	if !r.agentsUnknown && (r.agents != nil || e.settings.FirstStart) {
 		d.agentsKnown, d.agentsLackAt = true, 0
 		e.director.SetRegistered(e.now(), r.agents)
 		return
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -92,7 +92,7 @@
 	b, err := json.Marshal(map[string]any{
 		"node-name": fmt.Sprintf("host-%d", host), "ip": s.ip(host), "zone": "graz-nord",
 		"listen":         map[string]string{"datagrams": at(2), "ready": at(3), "control": at(4), "outbound": at(5)},
-		"internal-ports": []int{s.port, s.port + 1}, "seeds": []string{}, "heartbeat-ms": 770,
+		"internal-ports": []int{s.port, s.port + 1}, "seeds": []string{}, "heartbeat-ms": 770, "bootstrap": true,
 		"app": at(6), "service": "maklerlink",
 		"bounds":   map[string]any{"grace-s": 6, "config-apply-ms": 3000, "flow-lifetime-s": 60},
 		"platform": map[string]any{"address": s.storeAddress, "ttl-min-ms": 1000},
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -142,8 +142,10 @@
 }
 
 // completeHolders completes the flow holders by those of another entry, else by the record in
-// the store and the versions of the configuration since it was written. If there is no record,
-// and no entry was started before this one, no flow was placed under an earlier version.
+// the store and the versions of the configuration since it was written. At the first start of
+// the platform there is no record, and no flow was placed under an earlier version. If an entry
+// that was killed has left no record, the flow holders count as complete when its flows have
+// passed their lifetime.
 func (e *Entry) completeHolders(ctx context.Context, r registry) {
 	if e.director.HoldersComplete() {
 		return
@@ -161,10 +163,16 @@
 		return
 	}
 	version := e.config.versionInForce()
-	if r.holders == nil && r.oldHolders == nil && version != 0 && len(e.earlierEntries()) == 0 {
+	if r.holders != nil || r.oldHolders != nil || version == 0 || len(e.earlierEntries()) != 0 {
+		return
+	}
+	if e.settings.FirstStart {
 		e.director.MergeHolders(nil, version)
 		e.config.logHolders("first start")
+		return
 	}
+	e.director.MergeHolders(nil, 0) // complete when the flows of earlier processes have expired
+	e.config.logHolders("no record")
 }
 
 // replay adds the services of all configurations since a record of flow holders was written,
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -193,7 +193,7 @@
 		OutboundAddress: s.addrPort(host, portFromUpstream), UpstreamAddress: s.addrPort(host, portUpstream),
 		PeerPort: uint16(s.port + portPeers), StoreAddress: s.storeAddress(), HeartbeatInterval: s.heartbeats,
 		Grace: 6 * time.Second, ConfigApply: 3 * time.Second, FlowLifetime: time.Minute, LeaseMin: time.Second,
-		EvacuateWithin: evacuationBound,
+		EvacuateWithin: evacuationBound, FirstStart: true,
 	}
 }
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -69,7 +69,8 @@
 	// restarted whenever it ends, until stop.
 	child struct {
 		program, role, settingsPath string
-		proxy                       *proxy // between the process and the store
+		settings                    map[string]any // written to settingsPath at each start
+		proxy                       *proxy         // between the process and the store
 		log                         *os.File
 
 		mu      sync.Mutex
@@ -281,22 +282,17 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrap(err, "create log"), p.close())
 	}
-	b, err := json.Marshal(map[string]any{
+	doc := map[string]any{
 		"node-name": s.Node, "ip": s.Address, "zone": s.FailureDomain, "service": s.Service, "app": s.UpstreamAddress,
 		"listen": map[string]any{
 			"datagrams": s.DatagramAddress, "ready": s.ReadyAddress, "control": s.ControlAddress, "outbound": s.OutboundAddress,
 		},
 		"internal-ports": []uint16{s.PeerPort, s.PeerPort + 1}, "heartbeat-ms": s.HeartbeatInterval.Milliseconds(),
-		"bounds":   map[string]any{"grace-s": s.Grace.Seconds(), "config-apply-ms": s.ConfigApply.Milliseconds(), "flow-lifetime-s": s.FlowLifetime.Seconds(), "evacuate-ms": s.EvacuateWithin.Milliseconds()},
-		"platform": map[string]any{"address": p.address(), "ttl-min-ms": s.LeaseMin.Milliseconds()},
-	})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode settings")
-	}
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		return nil, errors.Wrap(err, "write settings")
+		"bounds":    map[string]any{"grace-s": s.Grace.Seconds(), "config-apply-ms": s.ConfigApply.Milliseconds(), "flow-lifetime-s": s.FlowLifetime.Seconds(), "evacuate-ms": s.EvacuateWithin.Milliseconds()},
+		"platform":  map[string]any{"address": p.address(), "ttl-min-ms": s.LeaseMin.Milliseconds()},
+		"bootstrap": s.FirstStart,
 	}
-	c := &child{program: program, role: role, settingsPath: path, proxy: p, log: log, done: make(chan error, 1)}
+	c := &child{program: program, role: role, settingsPath: path, settings: doc, proxy: p, log: log, done: make(chan error, 1)}
 	if err := c.exec(); err != nil {
 		return nil, err
 	}
@@ -310,6 +306,13 @@
 // exec starts the process. It inherits the environment and writes its output to the
 // log.
 func (c *child) exec() error {
+	b, err := json.Marshal(c.settings)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(c.settingsPath, b, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
 	cmd := exec.Command(c.program, "platform", c.role)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+c.settingsPath)
 	cmd.Stdout, cmd.Stderr = c.log, c.log
@@ -331,6 +334,7 @@
 			c.done <- nil
 			return
 		}
+		c.settings["bootstrap"] = false
 		err := c.exec()
 		c.mu.Unlock()
 		if err != nil {
