The whole of the saved flows is written also while many flows are added

Each write of the added flows, 129 to 266 of them every 0.84 s, raised the bytes that the next whole had to wait for, faster than time passed.

Added flows are written while they are at most a quarter of the whole; more are left to the next whole, which is due soon then.

TestWholeIsWrittenWhileFlowsAreAdded without the limit:

saved_flows_test.go:107: not true: now < limit // the whole is due --- FAIL: TestWholeIsWrittenWhileFlowsAreAdded/200

--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -46,9 +46,11 @@
 	flowsPrefix = "hickoryhook-flows/"
 
 	// The parts of an entry's saved flows. The whole is written as often as its size allows,
-	// the added ones in between: they are few.
-	wholePart = ""
-	addedPart = "added"
+	// the added ones in between while they are few: at most one for each addedShare flows of
+	// the whole. More would use up the budget, and put off the next whole with each write.
+	wholePart  = ""
+	addedPart  = "added"
+	addedShare = 4
 )
 
 // savedFlows is what an entry knows of its flows in the store.
@@ -97,7 +99,8 @@
 }
 
 // saveChangedFlows writes the entry's flows to the store if they differ from the saved ones.
-// Unless wholeDue is true, it writes those that have been added since the whole was written.
+// Unless wholeDue is true, it writes those that have been added since the whole was written,
+// see savedFlows.mayAdd.
 func (e *Entry) saveChangedFlows(ctx context.Context, saved *savedFlows, wholeDue bool) {
 	now := e.now()
 	flows := e.director.SnapshotFlows(now, maxSavedFlows)
@@ -108,11 +111,17 @@
 		return
 	}
 	added := director.AddedFlows(saved.flows, flows)
-	if len(director.AddedFlows(saved.added, added)) > 0 && e.saveFlowsPart(ctx, saved, addedPart, added) {
+	if saved.mayAdd(added) && e.saveFlowsPart(ctx, saved, addedPart, added) {
 		saved.added = added
 	}
 }
 
+// mayAdd reports whether the added flows are to be written before the next whole: some are not
+// saved yet, and they are few.
+func (s *savedFlows) mayAdd(added []director.FlowSnapshot) bool {
+	return len(director.AddedFlows(s.added, added)) > 0 && len(added)*addedShare <= max(len(s.flows), addedShare)
+}
+
 // saveFlowsPart writes a part of the entry's flows to the store and reports whether it is
 // written.
 func (e *Entry) saveFlowsPart(ctx context.Context, saved *savedFlows, part string, flows []director.FlowSnapshot) bool {
--- a/internal/fleet/saved_flows_test.go
+++ b/internal/fleet/saved_flows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -66,6 +67,49 @@
 	is.Equal(read, groups)
 }
 
+// TestWholeIsWrittenWhileFlowsAreAdded guards against saved flows that are seconds old: at an
+// entry with many flows, each write of the added ones put off the next write of the whole, so
+// that it was never due. The whole is written within three times the pause that its size needs,
+// within the budget for control traffic.
+func TestWholeIsWrittenWhileFlowsAreAdded(t *testing.T) {
+	const interval = 840 * time.Millisecond // between attempts to write
+	flowsAt := func(from, count int) []director.FlowSnapshot {
+		var out []director.FlowSnapshot
+		for i := from; i < from+count; i++ {
+			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 1024)
+			out = append(out, director.FlowSnapshot{
+				Flow: segment.NewFlow(caller, netip.MustParseAddrPort("198.18.0.1:443")), Owner: peer.Addr{10, 0, 0, byte(i % 7)}, Start: 1, Proven: true,
+			})
+		}
+		return out
+	}
+	size := func(flows []director.FlowSnapshot) int {
+		b, err := encodeFlows(flows)
+		is.New(t).NoErr(err)
+		return len(b) + putOverhead
+	}
+	for _, replaced := range []int{5, 20, 60, 200} { // flows in an interval
+		t.Run(strconv.Itoa(replaced), func(t *testing.T) {
+			is := is.New(t)
+			whole := flowsAt(0, maxSavedFlows)
+			saved := savedFlows{flows: whole, bytes: size(whole)}
+			limit := 3*flowsPause(size(whole), 1, 0) + interval
+			for n := 1; ; n++ {
+				now := time.Duration(n) * interval
+				if now-saved.wholeAt >= flowsPause(saved.bytes, 1, 0) {
+					break
+				}
+				added := director.AddedFlows(saved.flows, flowsAt(n*replaced, maxSavedFlows))
+				if saved.mayAdd(added) {
+					saved.bytes += size(added)
+					saved.added = added
+				}
+				is.True(now < limit) // the whole is due
+			}
+		})
+	}
+}
+
 // TestPauseBetweenSavedFlows covers the interval at which flows are saved: as short as the
 // store and the budget for control traffic allow.
 func TestPauseBetweenSavedFlows(t *testing.T) {
