Agents name the proof of each reset

The line reset-upstream-ended had the flow alone. Operators could not tell from it whether a refused connection, a deregistration or the heartbeat of another start had ended the flow, nor whether the agent had heard from the upstream just before: a living flow that was reset by a late heartbeat looked like one whose upstream had crashed.

The relay knows the reason where it decides, but recorded only the event. It now passes the proof, the start whose flows are reset, the start whose heartbeat is the proof, and the age of the last heartbeat to the port's RecordReset. The agent logs them as proof, start, reported-start and age-ms, and counts each proof as reset-by-proof-PROOF, as entries do.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -186,6 +186,21 @@
 	a.log.Info(string(event), fields...)
 }
 
+// RecordReset implements relay.Port. It counts and logs the reset of a flow whose upstream
+// has ended, with what it rests on.
+func (a *Agent) RecordReset(flow segment.Flow, why relay.Reset) {
+	a.metrics.increment(string(relay.ResetUpstreamEnded))
+	a.metrics.increment(proofCounter + string(why.Proof))
+	fields := []zap.Field{zap.Stringer("flow", flow), zap.String("proof", string(why.Proof)), zap.Uint32("start", why.Start)}
+	if why.Reported != 0 {
+		fields = append(fields, zap.Uint32("reported-start", why.Reported))
+	}
+	if why.Start != 0 {
+		fields = append(fields, zap.Duration("age-ms", why.Age))
+	}
+	a.log.Info(string(relay.ResetUpstreamEnded), fields...)
+}
+
 // handlePeerDatagram handles a datagram of an entry or of another agent.
 func (a *Agent) handlePeerDatagram(from netip.AddrPort, b []byte) error {
 	kind, err := peer.KindOf(b)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -215,7 +215,7 @@
 		fields = append(fields, zap.Int("tried", d.Tried))
 	}
 	if d.Proof != "" {
-		e.metrics.increment("reset-by-proof-" + string(d.Proof))
+		e.metrics.increment(proofCounter + string(d.Proof))
 		fields = append(fields, zap.String("proof", string(d.Proof)))
 	}
 	if d.Previous != (peer.Addr{}) {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -21,6 +21,9 @@
 	maxCounters = 256
 	otherCounts = "other"
 
+	// proofCounter, and the proof of a reset, is the name of the counter of such resets.
+	proofCounter = "reset-by-proof-"
+
 	// MetricsPort is the port on which a process of the platform serves its
 	// metrics, at /debug/vars. deploy/system.toml names it, too.
 	MetricsPort = 9402
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -293,6 +293,12 @@
 // RecordLatency implements relay.Port.
 func (i *Instance) RecordLatency(relay.Measure, time.Duration) {}
 
+// RecordReset implements relay.Port.
+func (i *Instance) RecordReset(flow segment.Flow, why relay.Reset) {
+	i.world.count("agent-" + string(relay.ResetUpstreamEnded))
+	i.world.tracef("agent %s %s %s: %s", i.address, relay.ResetUpstreamEnded, flow, why.Proof)
+}
+
 // RecordDecision implements relay.Port.
 func (i *Instance) RecordDecision(event relay.Event, flow segment.Flow, _ *peer.Frame) {
 	i.world.count("agent-" + string(event))
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -92,11 +92,27 @@
 		// RecordDecision logs a decision. frame is nil if the decision was not
 		// made on a frame; for BouncedWithoutContext only its Packet is set.
 		RecordDecision(event Event, flow segment.Flow, frame *peer.Frame)
+		// RecordReset logs the decision ResetUpstreamEnded.
+		RecordReset(flow segment.Flow, why Reset)
 	}
 
 	// Event is the kind of a decision, and the message of its log line.
 	Event string
 
+	// Proof is the kind of evidence that a start of the upstream has ended.
+	Proof string
+
+	// Reset is what a reset of a flow by the relay rests on.
+	Reset struct {
+		Proof Proof
+		// Start is the peer.StartID of the upstream that held the flow, 0 if unknown.
+		Start uint32
+		// Reported is the start whose heartbeat is the proof, for OtherStart.
+		Reported uint32
+		// Age is the time since the last heartbeat of Start, 0 if Start is unknown.
+		Age time.Duration
+	}
+
 	// Measure is the name of a latency metric.
 	Measure string
 
@@ -233,6 +249,16 @@
 	UpstreamFailing Event = "upstream-failing"
 )
 
+// The proofs of ResetUpstreamEnded.
+const (
+	// OtherStart: a heartbeat of another start of the upstream has arrived.
+	OtherStart Proof = "other-start"
+	// ConnectionRefused: no process listens at the upstream's address.
+	ConnectionRefused Proof = "connection-refused"
+	// Deregistered: the upstream has deregistered.
+	Deregistered Proof = "deregistered"
+)
+
 // The latencies that a relay measures.
 const (
 	// Accepting is the time from an offered opening, or from the first delivered packet
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -35,6 +35,8 @@
 	out   []string
 	last  []byte // the last packet delivered to the upstream
 	kept  []byte // the packet that "keep" has kept
+	why   []relay.Reset
+	sent  map[uint32]string // starts that sent a heartbeat: ID/BORN
 }
 
 func (r *harness) ToUpstream(packet []byte) {
@@ -87,6 +89,7 @@
 
 func (r *harness) RecordLatency(relay.Measure, time.Duration)            {}
 func (r *harness) RecordDecision(relay.Event, segment.Flow, *peer.Frame) {}
+func (r *harness) RecordReset(_ segment.Flow, why relay.Reset)           { r.why = append(r.why, why) }
 func caller(n int) segment.Flow {
 	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
 }
@@ -117,6 +120,8 @@
 //	                                 flow of caller N
 //	cold-limit N                     a cold upstream may be offered 1.5 * N + 1 openings a second
 //	evacuate | end-evacuation        of the agent's failure domain
+//	proofs                           sends "proof PROOF of START, reported START, MILLISECONDS" for each
+//	                                 reset of the agent, for the next ">"; a start is ID/BORN
 //	budget                           sends "budget USED of LIMIT, passed on N", for the next ">"
 //	bounce                           the upstream bounces the last packet delivered to it
 //	keep | bounce-kept               keeps that packet, which the upstream bounces later
@@ -130,7 +135,7 @@
 			is := is.New(t)
 			text, err := os.ReadFile(file)
 			is.NoErr(err)
-			r := &harness{}
+			r := &harness{sent: map[uint32]string{0: "none"}}
 			r.start()
 			for n, line := range strings.Split(string(text), "\n") {
 				words := strings.Fields(line)
@@ -184,6 +189,7 @@
 		if i := slices.Index(words, "slots"); i > 0 {
 			u.Slots = number(words, i+1)
 		}
+		r.sent[peer.StartID(u.ID, u.Born)] = fmt.Sprintf("%s/%d", u.ID, u.Born)
 		r.relay.HandleHeartbeat(r.now, u)
 	case "cold-limit":
 		r.relay.SetColdLimit(float64(number(words, 1)))
@@ -192,6 +198,11 @@
 	case "budget":
 		a := r.relay.Admission(r.now)
 		r.out = append(r.out, fmt.Sprintf("budget %d of %v, passed on %d", a.ColdUsed, a.ColdLimit, a.ColdPassedOn))
+	case "proofs":
+		for _, why := range r.why {
+			r.out = append(r.out, fmt.Sprintf("proof %s of %s, reported %s, %d", why.Proof, r.sent[why.Start], r.sent[why.Reported], why.Age.Milliseconds()))
+		}
+		r.why = nil
 	case "deregister":
 		r.relay.HandleDeregistration(r.now, words[1])
 	case "stop":
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -32,10 +32,11 @@
 	case !same && (r.delayed(now, u.Born, startID) || r.foreign(now, u)):
 		return false
 	}
+	why := r.resetReason(now, OtherStart, startID)
 	r.lastHeartbeatAt = now
 	if !same && r.startID != 0 {
 		r.replaced.add(r.startID)
-		r.resetFlowsBefore(now, now-u.Age)
+		r.resetFlowsBefore(now, now-u.Age, why)
 		r.detector.recordRestart(now)
 	}
 	r.recordWarmUp(now, u, !same && r.startID != 0)
@@ -99,7 +100,7 @@
 	defer r.mu.Unlock()
 	changed := !r.ended
 	r.alive, r.ended = false, true
-	r.resetAll(now)
+	r.resetAll(now, ConnectionRefused)
 	return changed
 }
 
@@ -144,7 +145,7 @@
 	defer r.mu.Unlock()
 	if r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace {
 		r.ended = true
-		r.resetAll(now)
+		r.resetAll(now, Deregistered)
 	}
 	r.activeFlows = 0
 	for flow, s := range r.flows {
@@ -170,7 +171,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deregistered {
-		r.resetAll(now)
+		r.resetAll(now, Deregistered)
 	}
 	r.alive = false
 	r.serveWaiting(now)
@@ -204,7 +205,18 @@
 }
 
 // resetAll resets all flows, as the upstream's process has ended.
-func (r *Relay) resetAll(now time.Duration) { r.resetFlowsBefore(now, math.MaxInt64) }
+func (r *Relay) resetAll(now time.Duration, p Proof) {
+	r.resetFlowsBefore(now, math.MaxInt64, r.resetReason(now, p, 0))
+}
+
+// resetReason returns what a reset of the flows of the upstream's last start rests on.
+func (r *Relay) resetReason(now time.Duration, p Proof, reported uint32) Reset {
+	why := Reset{Proof: p, Start: r.startID, Reported: reported}
+	if r.startID != 0 {
+		why.Age = now - r.lastHeartbeatAt
+	}
+	return why
+}
 
 // announceAll announces all open flows, with the upstream's start id, to their
 // entries. A new start may have accepted flows before its first heartbeat, which
@@ -220,7 +232,7 @@
 // resetFlowsBefore removes the flows of the upstream's last start: those of which
 // the upstream has sent no packet after started, when its new start began. For the
 // open ones it sends a reset to the caller.
-func (r *Relay) resetFlowsBefore(now, started time.Duration) {
+func (r *Relay) resetFlowsBefore(now, started time.Duration, why Reset) {
 	// The sorted order makes simulated runs repeatable.
 	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
 		s := r.flows[flow]
@@ -229,7 +241,7 @@
 		}
 		if s.phase == accepted {
 			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
-			r.port.RecordDecision(ResetUpstreamEnded, flow, nil)
+			r.port.RecordReset(flow, why)
 		}
 		r.remove(now, flow, s)
 	}
