explain tells what a reset rests on, and what contradicts it

hickoryhook explain printed the cause of a reset and the process that sent it. Whether the entry had been right could be told only by reading the lines of all processes about that flow and comparing starts by hand; nothing showed that a living flow had been reset.

The cause line now says what the reset rests on: the agent, the recorded and the reported start, whether the record was recalled, its age, and for the other proofs the agents visited, the coverage of the flow holders or the configuration. A later line that shows the flow open at another agent, or at another start beside the same one, is printed as "contradicted by". The summary counts flows by proof, with those that were recalled and the greatest age, and the flows with a contradiction in a line of their own. Lines of the same agent and start do not count, as an announcement may be under way while the flow is reset, nor do those of a flow that was opened again.

To compare, "agent started" has the agent's address, and "found" the start of the upstream that was found; the start at other lines of an agent is that of its last line "upstream".

No expectation of the old cases changes: their lines have no proof. TestEntryLinesHaveTheStarts covers the fields of the lines.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -57,20 +57,23 @@
 	At    time.Time
 	// Line is the log line that shows the cause.
 	Line Line
+	// Contradiction is a later line that shows the flow open although it was reset as
+	// that of an upstream that is gone, or of none. Its Message is empty if there is none.
+	Contradiction Line
 }
 
 // resetCauses maps the messages of decisions after which the caller was reset to
 // their causes.
 var resetCauses = map[string]Cause{
-	"upstream-gone":        UpstreamRestarted,
-	"reset-upstream-ended": UpstreamEnded,
-	"reset-by-upstream":    ResetByUpstream,
-	"found-nobody":         FlowLost,
-	"no-taker":             UpstreamsBusy,
-	"upstreams-evacuated":  UpstreamsEvacuated,
-	"link-full":            LinkFull,
-	"no-route":             NoRoute,
-	"route-dropped":        NoRoute,
+	goneMessage:           UpstreamRestarted,
+	endedMessage:          UpstreamEnded,
+	resetByMessage:        ResetByUpstream,
+	nobodyMessage:         FlowLost,
+	"no-taker":            UpstreamsBusy,
+	"upstreams-evacuated": UpstreamsEvacuated,
+	"link-full":           LinkFull,
+	"no-route":            NoRoute,
+	"route-dropped":       NoRoute,
 }
 
 // pendingCauses maps the messages of decisions that another decision must
@@ -95,8 +98,8 @@
 // caller gives up the flow then. Without one, the last pending decision does,
 // if it was not completed. leftOut holds the times, in order, at which
 // processes reported that they had left out lines.
-func determineOutcome(flow string, lines []Line, leftOut []time.Time) Outcome {
-	outcome := outcomeFromLines(flow, lines)
+func determineOutcome(flow string, lines []Line, leftOut []time.Time, agents starts) Outcome {
+	outcome := outcomeFromLines(flow, lines, agents)
 	if pendingCauses[outcome.Line.Message] != "" && anyBetween(leftOut, outcome.At, outcome.At.Add(leftOutWindow)) {
 		outcome.Cause = LinesLeftOut
 	}
@@ -114,15 +117,17 @@
 // regard to lines that were left out. Entries log openings and agents log their
 // acceptance, so that the order of these lines depends on two clocks: a caller opens
 // a flow once, and one acceptance answers the opening wherever its line stands.
-func outcomeFromLines(flow string, lines []Line) Outcome {
+func outcomeFromLines(flow string, lines []Line, agents starts) Outcome {
 	outcome := Outcome{Flow: flow}
 	opened := isAccepted(lines)
-	for _, line := range lines {
+	for i, line := range lines {
 		if cause, ok := resetCauses[line.Message]; ok {
 			if cause == UpstreamsBusy && line.Tried == 0 {
 				cause = NoUpstream
 			}
-			return Outcome{Flow: flow, Cause: cause, At: line.At, Line: line}
+			outcome = Outcome{Flow: flow, Cause: cause, At: line.At, Line: line}
+			outcome.Contradiction = agents.contradiction(line, lines[i+1:])
+			return outcome
 		}
 		cause, pending := pendingCauses[line.Message]
 		switch {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -35,7 +35,7 @@
 		Message  string    `json:"msg"`
 		Process  string    `json:"node"`
 		Flow     string    `json:"flow"`
-		Agent    string    `json:"agent"`    // address of the agent that was chosen or answered
+		Agent    string    `json:"agent"`    // address of the agent that was chosen or answered, or has started
 		Entry    string    `json:"entry"`    // address of the entry that sent a frame or that the line is about
 		Upstream string    `json:"upstream"` // id
 		Load     float64   `json:"load"`     // load of the chosen agent in open flows per slot
@@ -43,6 +43,16 @@
 		Config   uint64    `json:"config"`   // version
 		Tried    int       `json:"tried"`    // agents that were offered the flow or queried
 		Error    string    `json:"error"`
+		// Proof is what a reset rests on. Start is the start of the upstream that the flow
+		// was recorded with, or for an agent's line "upstream" its present one, and
+		// ReportedStart the one that was reported since. Recalled is set if the record was one
+		// from before the entry's start. Through is the version of the configuration through
+		// which the flow holders are complete.
+		Proof         string `json:"proof"`
+		Start         uint32 `json:"start"`
+		ReportedStart uint32 `json:"reported-start"`
+		Recalled      bool   `json:"recalled"`
+		Through       uint64 `json:"through"`
 		// Text is the whole JSON object.
 		Text string `json:"-"`
 	}
--- a/internal/explain/outage.go
+++ b/internal/explain/outage.go
@@ -28,6 +28,8 @@
 	// WithoutStore: the process could not read or watch the configuration in the
 	// store.
 	WithoutStore = "without the store"
+
+	agentStartedMessage = "agent started"
 )
 
 // outages returns the outages in the logs, in order of time. It omits the end of a
@@ -78,7 +80,7 @@
 
 // isStart and isStop report whether a process logs the line when it has started
 // or stopped.
-func isStart(l Line) bool { return l.Message == "entry started" || l.Message == "agent started" }
+func isStart(l Line) bool { return l.Message == "entry started" || l.Message == agentStartedMessage }
 func isStop(l Line) bool  { return l.Message == "entry stopped" || l.Message == "agent stopped" }
 
 // overlapping returns the outages that overlap the time between from and to.
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -21,10 +21,14 @@
 type (
 	// Summary counts flows by the cause of their failure.
 	Summary struct {
-		Flows      int
-		Causes     []CauseCount
-		Outages    []Outage
-		Unreadable int
+		Flows  int
+		Causes []CauseCount
+		Proofs []ProofCount
+		// Contradicted are the flows whose reset a later line contradicts, in order of
+		// time.
+		Contradicted []Outcome
+		Outages      []Outage
+		Unreadable   int
 	}
 
 	// CauseCount is how many flows failed by a cause, and the first of them.
@@ -45,13 +49,18 @@
 
 // Summary returns the failed flows by cause, the most frequent cause first.
 func (l *Logs) Summary() Summary {
-	flows, leftOut := l.byFlow(), l.leftOut()
+	flows, leftOut, agents := l.byFlow(), l.leftOut(), l.starts()
+	var failed, contradicted []Outcome
 	counts := make(map[Cause]*CauseCount)
 	for _, flow := range slices.Sorted(maps.Keys(flows)) {
-		outcome := determineOutcome(flow, flows[flow], leftOut)
+		outcome := determineOutcome(flow, flows[flow], leftOut, agents)
 		if outcome.Cause == "" {
 			continue
 		}
+		failed = append(failed, outcome)
+		if outcome.Contradiction.Message != "" {
+			contradicted = append(contradicted, outcome)
+		}
 		c := counts[outcome.Cause]
 		if c == nil {
 			c = &CauseCount{Cause: outcome.Cause, First: outcome}
@@ -62,7 +71,8 @@
 			c.First = outcome
 		}
 	}
-	s := Summary{Flows: len(flows), Outages: l.outages(), Unreadable: l.unreadable}
+	slices.SortStableFunc(contradicted, func(a, b Outcome) int { return a.At.Compare(b.At) })
+	s := Summary{Flows: len(flows), Proofs: countProofs(failed), Contradicted: contradicted, Outages: l.outages(), Unreadable: l.unreadable}
 	for _, c := range counts {
 		s.Causes = append(s.Causes, *c)
 	}
@@ -76,7 +86,7 @@
 // line is about the flow, the report has no lines, cause or outages.
 func (l *Logs) Flow(name string) FlowReport {
 	lines := l.byFlow()[name]
-	report := FlowReport{Outcome: determineOutcome(name, lines, l.leftOut()), Lines: lines}
+	report := FlowReport{Outcome: determineOutcome(name, lines, l.leftOut(), l.starts()), Lines: lines}
 	if len(lines) > 0 {
 		report.Outages = overlapping(l.outages(), lines[0].At.Add(-outageMargin), lines[len(lines)-1].At.Add(outageMargin))
 	}
@@ -97,6 +107,15 @@
 	for _, c := range s.Causes {
 		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\n", c.Cause, c.Flows, c.First.At.Format(timeLayout), c.First.Line.Process, c.First.Flow)
 	}
+	if len(s.Proofs) > 0 {
+		fmt.Fprintf(t, "\nproof\tcause\tflows\trecalled\toldest\n")
+	}
+	for _, p := range s.Proofs {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.0f ms\n", p.Proof, p.Cause, p.Flows, p.Recalled, p.OldestMS)
+	}
+	if len(s.Contradicted) > 0 {
+		fmt.Fprintf(t, "\nreset although a later line shows the flow open: %d, first %s\n", len(s.Contradicted), s.Contradicted[0].Flow)
+	}
 	writeOutages(t, s.Outages)
 	return t.Flush()
 }
@@ -113,7 +132,14 @@
 	case s.Outcome.Cause == "":
 		fmt.Fprintf(t, "nothing went wrong that the lines tell of\n")
 	default:
-		fmt.Fprintf(t, "cause: %s at %s, told by %s\n", s.Outcome.Cause, s.Outcome.At.Format(timeLayout), s.Outcome.Line.Process)
+		fmt.Fprintf(t, "cause: %s at %s, told by %s", s.Outcome.Cause, s.Outcome.At.Format(timeLayout), s.Outcome.Line.Process)
+		if basis := s.Outcome.Line.basis(); basis != "" {
+			fmt.Fprintf(t, ": %s", basis)
+		}
+		fmt.Fprintln(t)
+		if s.Outcome.Contradiction.Message != "" {
+			fmt.Fprintf(t, "contradicted by: %s\n", s.Outcome.Contradiction.Text)
+		}
 	}
 	writeOutages(t, s.Outages)
 	return t.Flush()
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -115,7 +115,7 @@
 		a.httpTask(a.settings.ReadyAddress, readyHandler(func() bool { return true })),
 	}
 	// Before any line of the tasks: it marks where the lines of this process begin.
-	a.log.Info("agent started", zap.String("service", a.settings.Service), zap.String("build", daemon.Revision()))
+	a.log.Info("agent started", zap.Stringer("agent", a.self), zap.String("service", a.settings.Service), zap.String("build", daemon.Revision()))
 	ends := a.startTasks(taskCtx, tasks)
 	a.probeUpstreamAtStart()
 	a.report()
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -221,7 +221,10 @@
 	if d.Previous != (peer.Addr{}) {
 		fields = append(fields, zap.Stringer("previous-agent", d.Previous))
 	}
-	if d.Start != 0 || d.Reported != 0 {
+	switch {
+	case d.Event == director.OwnerFound:
+		fields = append(fields, zap.Uint32("reported-start", d.Reported))
+	case d.Start != 0 || d.Reported != 0:
 		fields = append(fields, zap.Uint32("start", d.Start), zap.Uint32("reported-start", d.Reported), zap.Bool("recalled", d.Restored))
 	}
 	if d.Through != 0 {
--- a/internal/fleet/reset_log_test.go
+++ b/internal/fleet/reset_log_test.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/relay"
 	"hickoryhook.example/pkg/segment"
 )
@@ -50,3 +52,38 @@
 		})
 	}
 }
+
+// TestEntryLinesHaveTheStarts covers a reset by an entry and the line that may contradict it: an
+// unknown start must not be missing where 0 means that no upstream runs, and the line of a found
+// owner must not look like one of a recorded start.
+func TestEntryLinesHaveTheStarts(t *testing.T) {
+	agent := peer.Addr{10, 0, 0, 2}
+	for _, c := range []struct {
+		decision director.Decision
+		want     map[string]any
+		counts   map[string]int64
+	}{
+		{
+			director.Decision{Event: director.UpstreamGone, Proof: director.NoUpstreamRuns, Agent: agent, Start: 5, Restored: true, Age: time.Second},
+			map[string]any{"agent": "10.0.0.2", "age-ms": time.Second, "proof": "no-upstream-runs", "start": uint32(5), "reported-start": uint32(0), "recalled": true},
+			map[string]int64{"upstream-gone": 1, "reset-by-proof-no-upstream-runs": 1},
+		},
+		{
+			director.Decision{Event: director.OwnerFound, Agent: agent, Reported: 7, Age: time.Second},
+			map[string]any{"agent": "10.0.0.2", "age-ms": time.Second, "reported-start": uint32(7)},
+			map[string]int64{"found": 1},
+		},
+	} {
+		t.Run(string(c.decision.Event), func(t *testing.T) {
+			is := is.New(t)
+			core, lines := observer.New(zap.InfoLevel)
+			e := &Entry{process: &process{log: zap.New(core)}}
+			e.RecordDecision(c.decision)
+			is.Equal(lines.Len(), 1)
+			got := lines.All()[0].ContextMap()
+			delete(got, "flow")
+			is.Equal(got, c.want)
+			is.Equal(e.metrics.counts, c.counts)
+		})
+	}
+}
--- a/internal/verb/explain.go
+++ b/internal/verb/explain.go
@@ -12,11 +12,13 @@
 const explainUsage = `usage: hickoryhook explain [flags] FILE...
 
 Reads the logs of entries and agents of the platform, in any order, and counts
-flows by the cause of their end; "-" reads standard input. It also lists when
+flows by the cause of their end; "-" reads standard input. It also counts what
+resets rest on, and those of flows that a later line shows open, and lists when
 processes were down or could not reach the store.
 
   -flow FLOW   prints the log lines of one flow, "CALLER>ADDRESS" with ports, and
-               the cause of its end
+               the cause of its end; for a reset, what it rests on and the line that
+               contradicts it, if there is one
 
 Example: hickoryhook explain -flow '100.64.0.7:1028>198.18.0.1:8080' *.log
 `
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -72,7 +72,7 @@
 	}
 	if rec.searching {
 		d.port.RecordLatency(Searching, now-rec.searchedAt)
-		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Age: now - rec.searchedAt})
+		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Reported: o.Start, Age: now - rec.searchedAt})
 	}
 	if rec.open && (rec.owner != from || rec.startID != o.Start) {
 		d.port.RecordDecision(Decision{Event: OwnerChanged, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start, Restored: rec.restored})
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -206,7 +206,7 @@
 		Proof Proof
 		// Start is the start of the upstream that the flow was recorded with, and Reported
 		// the one that its agent has reported since, 0 if none runs. Both are set for
-		// OtherStart, NoUpstreamRuns and OwnerChanged.
+		// OtherStart, NoUpstreamRuns and OwnerChanged; Reported for OwnerFound, too.
 		Start, Reported uint32
 		// Previous is the recorded owner, for OwnerChanged.
 		Previous peer.Addr
