--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -33,9 +33,10 @@
 	relay *relay.Relay
 	now   time.Duration
 	out   []string
-	last  []byte // the last packet delivered to the upstream
-	kept  []byte // the packet that "keep" has kept
-	why   []relay.Reset
+	last  []byte            // the last packet delivered to the upstream
+	kept  []byte            // the packet that "keep" has kept
+	owned peer.OwnerMessage // the last announcement
+	why   []relay.Reset     // of the resets since the last "proofs"
 	sent  map[uint32]string // starts that sent a heartbeat: ID/BORN
 }
 
@@ -66,6 +67,7 @@
 		if err := o.Decode(datagram); err != nil {
 			panic(err)
 		}
+		r.owned = o
 		if o.Waiting {
 			r.out = append(r.out, fmt.Sprintf("waiting %d %s", o.Flow.Caller().Port(), to))
 			return
@@ -135,7 +137,7 @@
 			is := is.New(t)
 			text, err := os.ReadFile(file)
 			is.NoErr(err)
-			r := &harness{sent: map[uint32]string{0: "none"}}
+			r := &harness{}
 			r.start()
 			for n, line := range strings.Split(string(text), "\n") {
 				words := strings.Fields(line)
@@ -157,6 +159,9 @@
 
 // start creates the relay.
 func (r *harness) start() {
+	if r.sent == nil {
+		r.sent = map[uint32]string{0: "none"}
+	}
 	r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r, relay.WithColdBounds(1.5, 1))
 }
 
