--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -36,6 +36,8 @@
 	last  []byte            // the last packet delivered to the upstream
 	kept  []byte            // the packet that "keep" has kept
 	owned peer.OwnerMessage // the last announcement
+	why   []relay.Reset     // of the resets since the last "proofs"
+	sent  map[uint32]string // starts that sent a heartbeat: ID/BORN
 }
 
 func (r *harness) ToUpstream(packet []byte) {
@@ -89,6 +91,7 @@
 
 func (r *harness) RecordLatency(relay.Measure, time.Duration)            {}
 func (r *harness) RecordDecision(relay.Event, segment.Flow, *peer.Frame) {}
+func (r *harness) RecordReset(_ segment.Flow, why relay.Reset)           { r.why = append(r.why, why) }
 func caller(n int) segment.Flow {
 	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
 }
@@ -119,6 +122,8 @@
 //	                                 flow of caller N
 //	cold-limit N                     a cold upstream may be offered 1.5 * N + 1 openings a second
 //	evacuate | end-evacuation        of the agent's failure domain
+//	proofs                           sends "proof PROOF of START, reported START, MILLISECONDS" for each
+//	                                 reset of the agent, for the next ">"; a start is ID/BORN
 //	budget                           sends "budget USED of LIMIT, passed on N", for the next ">"
 //	bounce                           the upstream bounces the last packet delivered to it
 //	keep | bounce-kept               keeps that packet, which the upstream bounces later
@@ -154,6 +159,9 @@
 
 // start creates the relay.
 func (r *harness) start() {
+	if r.sent == nil {
+		r.sent = map[uint32]string{0: "none"}
+	}
 	r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r, relay.WithColdBounds(1.5, 1))
 }
 
@@ -186,6 +194,7 @@
 		if i := slices.Index(words, "slots"); i > 0 {
 			u.Slots = number(words, i+1)
 		}
+		r.sent[peer.StartID(u.ID, u.Born)] = fmt.Sprintf("%s/%d", u.ID, u.Born)
 		r.relay.HandleHeartbeat(r.now, u)
 	case "cold-limit":
 		r.relay.SetColdLimit(float64(number(words, 1)))
@@ -194,6 +203,11 @@
 	case "budget":
 		a := r.relay.Admission(r.now)
 		r.out = append(r.out, fmt.Sprintf("budget %d of %v, passed on %d", a.ColdUsed, a.ColdLimit, a.ColdPassedOn))
+	case "proofs":
+		for _, why := range r.why {
+			r.out = append(r.out, fmt.Sprintf("proof %s of %s, reported %s, %d", why.Proof, r.sent[why.Start], r.sent[why.Reported], why.Age.Milliseconds()))
+		}
+		r.why = nil
 	case "deregister":
 		r.relay.HandleDeregistration(r.now, words[1])
 	case "stop":
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -33,7 +33,7 @@
 	}
 	if !same && r.startID != 0 {
 		r.replaced.add(r.startID)
-		r.resetEndedStart(now, u.Age)
+		r.resetEndedStart(now, u.Age, startID)
 		r.detector.recordRestart(now)
 	}
 	r.lastHeartbeatAt = now
@@ -99,7 +99,7 @@
 	defer r.mu.Unlock()
 	changed := !r.ended
 	r.alive, r.ended = false, true
-	r.resetAll(now)
+	r.resetAll(now, ConnectionRefused)
 	return changed
 }
 
@@ -144,7 +144,7 @@
 	defer r.mu.Unlock()
 	if r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace {
 		r.ended = true
-		r.resetAll(now)
+		r.resetAll(now, Deregistered)
 	}
 	r.activeFlows = 0
 	for flow, s := range r.flows {
@@ -170,7 +170,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deregistered {
-		r.resetAll(now)
+		r.resetAll(now, Deregistered)
 	}
 	r.alive = false
 	r.serveWaiting(now)
@@ -205,18 +205,18 @@
 }
 
 // resetAll resets all flows, as the upstream's process has ended.
-func (r *Relay) resetAll(now time.Duration) {
-	r.resetFlows(now, func(*flowState) bool { return true })
+func (r *Relay) resetAll(now time.Duration, p Proof) {
+	r.resetFlows(now, r.resetReason(now, p, 0), func(*flowState) bool { return true })
 }
 
 // resetEndedStart resets the flows of the start that has sent the last heartbeat, as another one
-// has begun age ago. A flow is one of the ended start if the upstream has sent no packet of it
-// since then. If the age is unknown, 0, it is one of the ended start if that has sent a heartbeat
-// after the flow was opened. The others may have been opened at the new start, before its first
-// heartbeat: they stay in the table, and the upstream bounces the packets of those that it does
-// not hold.
-func (r *Relay) resetEndedStart(now, age time.Duration) {
-	r.resetFlows(now, func(s *flowState) bool {
+// with the id reported has begun age ago. A flow is one of the ended start if the upstream has
+// sent no packet of it since then. If the age is unknown, 0, it is one of the ended start if that
+// has sent a heartbeat after the flow was opened. The others may have been opened at the new
+// start, before its first heartbeat: they stay in the table, and the upstream bounces the packets
+// of those that it does not hold.
+func (r *Relay) resetEndedStart(now, age time.Duration, reported uint32) {
+	r.resetFlows(now, r.resetReason(now, OtherStart, reported), func(s *flowState) bool {
 		if age > 0 {
 			return s.upstreamSeen <= now-age
 		}
@@ -224,6 +224,15 @@
 	})
 }
 
+// resetReason returns what a reset of the flows of the upstream's last start rests on.
+func (r *Relay) resetReason(now time.Duration, p Proof, reported uint32) Reset {
+	why := Reset{Proof: p, Start: r.startID, Reported: reported}
+	if r.startID != 0 {
+		why.Age = now - r.lastHeartbeatAt
+	}
+	return why
+}
+
 // announceAll announces all open flows, with the upstream's start id, to their
 // entries. A new start may have accepted flows before its first heartbeat, which
 // were announced with the id of the last start, 0 if none was known.
@@ -237,7 +246,7 @@
 
 // resetFlows removes the flows that have ended with the upstream's process. For the open ones
 // it sends a reset to the caller.
-func (r *Relay) resetFlows(now time.Duration, ended func(*flowState) bool) {
+func (r *Relay) resetFlows(now time.Duration, why Reset, ended func(*flowState) bool) {
 	// The sorted order makes simulated runs repeatable.
 	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
 		s := r.flows[flow]
@@ -246,7 +255,7 @@
 		}
 		if s.phase == accepted {
 			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
-			r.port.RecordDecision(ResetUpstreamEnded, flow, nil)
+			r.port.RecordReset(flow, why)
 		}
 		r.remove(now, flow, s)
 	}
