A test of odd entries uses networks that no demo uses

The demo takes 127.0.90.0 by default and the next free one else; a run of both side by side could take each other's ports.

--- a/internal/fleet/odd_entries_site_test.go
+++ b/internal/fleet/odd_entries_site_test.go
@@ -22,8 +22,8 @@
 		subnet byte
 		list   []byte
 	}{
-		{"one entry", 90, []byte{0x82, 0x44, 127, 0, 90, 2, 0x44, 0, 0, 0, 0}},
-		{"all", 91, []byte(`{"agents":7}`)},
+		{"one entry", 60, []byte{0x82, 0x44, 127, 0, 60, 2, 0x44, 0, 0, 0, 0}},
+		{"all", 61, []byte(`{"agents":7}`)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
