Soak: a test changes its upstream under the lock

With -race, TestResetDuringPause failed ("race detected during execution of test"): it set up and ended the upstream beside the callers' goroutine without the lock. The goroutine starts after the set-up now, and the test takes the lock; it passes with -race.

--- a/internal/fleetdemo/callers_test.go
+++ b/internal/fleetdemo/callers_test.go
@@ -23,8 +23,6 @@
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	is.NoErr(err)
 	c.conn = conn
-	received := make(chan error, 1)
-	go func() { received <- c.receive() }()
 	entry, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 3)}, conn.LocalAddr().(*net.UDPAddr))
 	is.NoErr(err)
 
@@ -32,6 +30,8 @@
 	c.inboxes[f.flow] = f.inbox
 	u := &upstream{site: s, id: "u-0", flows: map[segment.Flow]*heldFlow{f.flow: {isn: f.isn, open: true}}}
 	s.upstreams = []*upstream{u}
+	received := make(chan error, 1)
+	go func() { received <- c.receive() }()
 	sendReset := func() {
 		_, err := entry.Write(platform.EncodeReset(f.flow, f.ack))
 		is.NoErr(err)
@@ -40,7 +40,9 @@
 		}
 	}
 	sendReset()
+	u.mu.Lock()
 	u.flows = nil
+	u.mu.Unlock()
 	is.True(c.wasReset(f))
 	report := c.report()
 	is.Equal(report.Broken, 1)
