Soak: starts that flap take packets after their first heartbeat

Without that flag, a new start now takes no packets until its agent has answered its first heartbeat, so that the flag alone decides whether flows may open before.

--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -103,7 +103,8 @@
 }
 
 // restart ends the upstream with its flows and, after the time down, starts it under a new id.
-// Its first heartbeat comes after the time silent. It returns after the restart.
+// Its first heartbeat comes after the time silent. Without late heartbeats it takes no packets
+// before its agent has answered that one. It returns after the restart.
 func (u *upstream) restart(down, silent time.Duration) {
 	u.restarts.Lock()
 	defer u.restarts.Unlock()
@@ -127,9 +128,15 @@
 	u.starts++
 	u.id = fmt.Sprintf("%s-%d", u.name, u.starts)
 	u.down, u.draining, u.heartbeats, u.silent = false, false, 0, time.Now().Add(silent)
+	u.starting = !u.site.lateHeartbeats
 	u.mu.Unlock()
 	time.Sleep(silent)
-	u.sendHeartbeat()
+	if id, body, due := u.nextHeartbeat(); due {
+		u.callAgent(http.MethodPut, id, body)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.starting = false
 }
 
 // leave drains the upstream for a time, deregisters it and starts it again as restart does.
@@ -206,7 +213,7 @@
 func (k *soak) startFlaps(running *sync.WaitGroup, c SoakConfig, end time.Time) {
 	const firstStream = 16 // of the seed's random numbers
 	for n := range 1 + len(k.upstreams)/flappingUpstreams {
-		running.Go(func() { k.flapUntil(end, c.LateHeartbeats, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n)))) })
+		running.Go(func() { k.flapUntil(end, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n)))) })
 	}
 	for n := range min(maxRounds, 1+len(k.children)/(2*maxRound)) {
 		running.Go(func() { k.restartRoundsUntil(end, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n+1)))) })
@@ -214,7 +221,7 @@
 }
 
 // flapUntil restarts one upstream after the other, each a few times in a row.
-func (k *soak) flapUntil(end time.Time, lateHeartbeats bool, random *rand.Rand) {
+func (k *soak) flapUntil(end time.Time, random *rand.Rand) {
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	unnoticed := time.Duration(unnoticedIntervals * float64(k.site.heartbeats))
 	for time.Now().Before(end) {
@@ -224,7 +231,7 @@
 			if random.Float64() < unnoticedShare {
 				down = below(unnoticed)
 			}
-			if random.Float64() < silentShare && lateHeartbeats {
+			if random.Float64() < silentShare && k.site.lateHeartbeats {
 				silent = below(unnoticed)
 			}
 			if random.Float64() < slowShare {
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -90,9 +90,10 @@
 		operatorConfig operatorConfig
 		// moves is set if the route moves between services during the run.
 		moves bool
-		// flaps is set if upstreams flap during the run. heartbeats is the interval of theirs.
-		flaps      bool
-		heartbeats time.Duration
+		// flaps and lateHeartbeats are those of SoakConfig, heartbeats is the interval of the
+		// upstreams' heartbeats.
+		flaps, lateHeartbeats bool
+		heartbeats            time.Duration
 		// modulo makes the routers choose an entry by the remainder of the hash: if one joins
 		// or leaves, nearly all flows move.
 		modulo bool
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -57,8 +57,8 @@
 		// them slow, while entries and agents restart in turn or together. The seed also
 		// chooses the heartbeat interval and how the routers select entries.
 		Flaps bool
-		// LateHeartbeats makes the first heartbeat of some of these starts late: flows open
-		// before it.
+		// LateHeartbeats makes the first heartbeat of some of these starts late, and lets flows
+		// open before the first heartbeat of each.
 		LateHeartbeats bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
@@ -111,7 +111,7 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
-	s.moves, s.flaps = c.Moves, c.Flaps
+	s.moves, s.flaps, s.lateHeartbeats = c.Moves, c.Flaps, c.LateHeartbeats
 	if c.Flaps {
 		s.heartbeats = flapHeartbeats[c.Seed%uint64(len(flapHeartbeats))]
 		s.modulo = c.Seed%2 == 1
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -46,6 +46,7 @@
 		heartbeats int       // since that start
 		draining   bool      // accepts flows and ends each with its next response
 		down       bool      // ended: neither answers packets nor sends heartbeats
+		starting   bool      // takes no packets yet
 		silent     time.Time // until then it sends no heartbeats
 		failing    bool      // resets each flow at its next request
 		// delay is the time by which its packets are late, delayed those that are not sent yet.
@@ -303,7 +304,7 @@
 	f := u.flows[h.Flow]
 	owned := f != nil && (f.open || h.Acknowledged == f.isn+1)
 	switch {
-	case u.down:
+	case u.down || u.starting:
 		return nil, nil
 	case u.failing && owned && h.Length > 0:
 		delete(u.flows, h.Flow)
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -32,7 +32,8 @@
                  and back in quick succession every second or so
   -flaps         upstreams flap, each start under a new id, and turn slow, while entries
                  and agents restart in turn or together; callers pause between requests
-  -late-heartbeats  with -flaps, the first heartbeat of some starts comes late
+  -late-heartbeats  with -flaps, upstreams accept flows before the first heartbeat of a
+                 start, which comes late at times
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
