A reset names no number that another upstream has sent

The agent's upstream had accepted a copy of the opening late; before it answered, the caller's first packets had come by with the number of the upstream with which the caller went on. The agent kept that number for its own reset, and when its upstream ended, the caller accepted the reset.

The first answer of an upstream now sets the number that a reset names.

The same belief in other places, each with a test that failed before, but for the one of the probe, whose call has a new argument:

- A late announcement of an upstream that has accepted a copy took a flow away from the confirmed owner (TestLateAnnouncementDoesNotMoveFlow); it is ignored and logged.
- What was observed of a flow outlived it: a later flow with the same addresses was reset (TestLaterFlowWithSameAddressesIsNotReset), and its returned packets were sent to no agent (TestReturnedPacketOfLaterFlowIsSearched).
- A refused connection that an agent handles late ended the flows of the next start as well (TestLateProbeResetsNoLaterFlow).

Two regressions of this work, found by the review: the last heartbeat in the report that ends a start was not used (TestReportOfEndedUpstreamResetsItsFlows has its two reports again), and the second part of the saved flows replaced a flow in use (TestRestoreKeepsFlowInUse).

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -353,7 +353,8 @@
 	if last == 0 || a.upstreamEnded.Load() || a.now()-last < time.Duration(overdueIntervals*float64(a.settings.HeartbeatInterval)) {
 		return
 	}
-	if listening, known := a.upstreamListens(); known && !listening && a.relay.MarkEnded(a.now()) {
+	probed := a.now()
+	if listening, known := a.upstreamListens(); known && !listening && a.relay.MarkEnded(a.now(), probed) {
 		a.upstreamEnded.Store(true)
 		a.log.Warn("upstream ended", zap.Duration("since-heartbeat", a.now()-last))
 		a.report()
@@ -366,8 +367,9 @@
 // that it is ready if its health check succeeds, both only if no heartbeat has
 // arrived by then.
 func (a *Agent) probeUpstreamAtStart() {
+	probed := a.now()
 	listening, known := a.upstreamListens()
-	if known && !listening && a.lastHeartbeat.Load() == 0 && a.relay.MarkEnded(a.now()) {
+	if known && !listening && a.lastHeartbeat.Load() == 0 && a.relay.MarkEnded(a.now(), probed) {
 		a.log.Info("upstream not listening yet")
 	}
 	if !known || !listening {
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -62,7 +62,7 @@
 	i.evacuation, i.introduced = evacuation.New(), false
 	i.relay = relay.New(i.address, peer.Service(i.service), w.codec, i, relay.WithColdBounds(coldOverage, coldSlack), relay.WithStart(w.now()))
 	if i.upstream == nil {
-		i.relay.MarkEnded(i.world.now())
+		i.relay.MarkEnded(i.world.now(), i.world.now())
 	} else if !i.upstream.draining {
 		i.relay.AssumeReady(1)
 	}
@@ -191,7 +191,7 @@
 	i.upstream = nil
 	i.world.After(heartbeatInterval, func() {
 		if i.upstream == nil && i.agentUp {
-			i.relay.MarkEnded(i.world.now())
+			i.relay.MarkEnded(i.world.now(), i.world.now())
 			i.sendReport()
 		}
 	})
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -74,6 +74,10 @@
 		d.port.RecordLatency(Searching, now-rec.searchedAt)
 		d.port.RecordDecision(Decision{Event: OwnerFound, Flow: o.Flow, Agent: from, Reported: o.Start, Age: now - rec.searchedAt})
 	}
+	if rec.isOpenElsewhere(from, o) {
+		d.port.RecordDecision(Decision{Event: AnnouncementIgnored, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start})
+		return
+	}
 	if rec.open && (rec.owner != from || rec.startID != o.Start) {
 		d.port.RecordDecision(Decision{Event: OwnerChanged, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start, Restored: rec.restored})
 	}
@@ -112,8 +116,13 @@
 // for any other packet it starts a search.
 func (d *Director) handleReturnedDelivery(now time.Duration, s *shard, from peer.Addr, f *peer.Frame, h segment.Header) {
 	rec := s.flows[h.Flow]
-	if rec != nil && rec.gone != nil && !h.Opens() && rec.gone.covers(h) {
-		d.resetGone(rec, h)
+	if rec != nil && rec.gone != nil && !h.Opens() {
+		if rec.gone.covers(h) {
+			d.resetGone(rec, h)
+			return
+		}
+		rec.gone = nil
+		d.startSearch(now, s, rec, h, f.Packet)
 		return
 	}
 	if rec != nil && !rec.searching && rec.owner != from {
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -99,6 +99,9 @@
 	// OwnerChanged means that another agent than the recorded owner has announced an open
 	// flow, or the same one with another start of its upstream.
 	OwnerChanged Event = "owner-changed"
+	// AnnouncementIgnored means that another agent than the owner has announced a flow whose
+	// caller goes on with the owner's upstream.
+	AnnouncementIgnored Event = "announcement-ignored"
 	// UpstreamGone means that a flow was reset because the upstream that held it
 	// has restarted or ended.
 	UpstreamGone Event = "upstream-gone"
--- a/pkg/director/evidence.go
+++ b/pkg/director/evidence.go
@@ -25,6 +25,9 @@
 	// accepts resets within it. Two upstreams that answer one opening are taken for the same
 	// in 1 of 28,000 cases.
 	confirmWindow = resetWindow
+	// resumeWindow is how far, in bytes, the numbers of a flow may have moved on while it went
+	// through other entries: 100 of the largest answers. Beyond, it may be another flow.
+	resumeWindow = 8 << 20
 	// heardRetention is how long the last heartbeat of an agent that has been removed is kept:
 	// flows are cached for a minute at most.
 	heardRetention = defaultFlowLifetime
@@ -46,17 +49,18 @@
 	return heardStart{start: start, heartbeat: status.Heartbeat, at: now}
 }
 
-// near reports whether two sequence numbers of one end of a flow may be of the same flow.
-func near(a, b uint32) bool {
+// near reports whether two sequence numbers are at most window bytes apart.
+func near(a, b uint32, window int32) bool {
 	distance := int32(a - b)
-	return -confirmWindow <= distance && distance <= confirmWindow
+	return -window <= distance && distance <= window
 }
 
 // announce records the owner of the flow from an announcement. What was observed of the same
 // owner and start before still holds.
 func (r *flowRecord) announce(from peer.Addr, o peer.OwnerMessage) {
-	if r.owner != from || r.startID != o.Start || !r.open {
-		r.confirmed, r.startProven, r.heartbeatKnown = false, false, false
+	laterFlow := r.sequenceKnown && o.SequenceKnown && !near(r.sequence, o.Sequence, resumeWindow)
+	if r.owner != from || r.startID != o.Start || !r.open || laterFlow {
+		r.disprove()
 	}
 	r.owner, r.startID, r.open, r.searching = from, o.Start, true, false
 	if o.HeartbeatKnown && !r.heartbeatKnown {
@@ -68,11 +72,26 @@
 	}
 }
 
+// isOpenElsewhere reports whether an announcement comes from an upstream that has accepted a copy
+// of the opening, although the caller goes on with the recorded one.
+func (r *flowRecord) isOpenElsewhere(from peer.Addr, o peer.OwnerMessage) bool {
+	return r.open && r.confirmed && r.owner != from && o.SequenceKnown && !near(r.acknowledged, o.Sequence, confirmWindow)
+}
+
+// disprove forgets what was observed of the flow at its owner.
+func (r *flowRecord) disprove() {
+	r.confirmed, r.startProven, r.heartbeatKnown = false, false, false
+}
+
 // confirm records an acknowledgement of the caller. It confirms that the flow is open at the
-// owner if it acknowledges what that one's upstream has sent.
+// owner if it acknowledges what that one's upstream has sent. An acknowledgement far from the
+// last one is of a later flow with the same addresses, of which nothing is known.
 func (r *flowRecord) confirm(acknowledged uint32) {
+	if r.acknowledged != 0 && !near(acknowledged, r.acknowledged, resumeWindow) {
+		r.disprove()
+	}
 	r.acknowledged = acknowledged
-	if r.open && r.sequenceKnown && near(acknowledged, r.sequence) {
+	if r.open && r.sequenceKnown && near(acknowledged, r.sequence, confirmWindow) {
 		r.confirmed = true
 	}
 }
@@ -90,5 +109,5 @@
 // covers reports whether a packet is of the flow that is gone, not of a later one with the same
 // addresses or of another that the recorded owner did not hold.
 func (g *goneFlow) covers(h segment.Header) bool {
-	return !h.Has(segment.Ack) || near(h.Acknowledged, g.acknowledged)
+	return !h.Has(segment.Ack) || near(h.Acknowledged, g.acknowledged, confirmWindow)
 }
--- a/pkg/director/gone_test.go
+++ b/pkg/director/gone_test.go
@@ -133,3 +133,49 @@
 		})
 	}
 }
+
+// TestLateAnnouncementDoesNotMoveFlow guards against packets that are sent to an upstream that has
+// accepted a copy of the opening: its announcement comes last, but the caller goes on with another.
+func TestLateAnnouncementDoesNotMoveFlow(t *testing.T) {
+	is := is.New(t)
+	s := newLateSite(t)
+	owner, other := s.place.Candidates[0], s.place.Candidates[1]
+	is.NoErr(s.HandleAgentDatagram(time.Second, owner, proven(s.flow, peer.StartID("u", 5), 900001)))
+	s.send(t, segment.Ack)
+	is.NoErr(s.HandleAgentDatagram(time.Second, other, proven(s.flow, peer.StartID("u", 5), 2000)))
+	s.port.frames = nil
+	s.send(t, segment.Ack)
+	is.Equal(len(s.port.frames), 1)
+	is.Equal(s.port.last().Candidates, []peer.Addr{owner})
+}
+
+// TestLaterFlowWithSameAddressesIsNotReset guards against the reset of a living flow: its caller
+// uses the address and port of an earlier flow, which was proven to be open at another upstream.
+func TestLaterFlowWithSameAddressesIsNotReset(t *testing.T) {
+	is := is.New(t)
+	s := newLateSite(t)
+	owner := s.place.Candidates[0]
+	s.RestoreFlows(0, nil)
+	is.NoErr(s.HandleAgentDatagram(time.Second, owner, proven(s.flow, peer.StartID("u", 5), 900001)))
+	s.send(t, segment.Ack)
+	status := peer.Status{Incarnation: 1, Sequence: 2, Service: "maklerlink", Upstream: "u", Born: 5, Heartbeat: 2, Taking: true, Slots: 2}
+	s.HandleReport(2*time.Second, owner, status)
+	is.NoErr(s.HandleCallerPacket(3*time.Second, platform.EncodePacket(segment.Header{Flow: s.flow, Flags: segment.Ack, Sequence: 7, Acknowledged: 800000009}, false)))
+	status.Sequence, status.Born = 3, 6
+	s.HandleReport(4*time.Second, owner, status)
+	is.Equal(s.port.resets, 0)
+}
+
+// TestReturnedPacketOfLaterFlowIsSearched guards against packets that are sent to no agent: one of
+// a later flow with the addresses of a flow that is gone is returned by its recorded owner.
+func TestReturnedPacketOfLaterFlowIsSearched(t *testing.T) {
+	is := is.New(t)
+	s := newGoneSite(9)
+	f := peer.Frame{
+		Kind: peer.Returned, OriginalKind: peer.Deliver, Entry: peer.Addr{10, 0, 0, 1}, Candidates: []peer.Addr{s.owner}, Hop: 1,
+		Packet: platform.EncodePacket(segment.Header{Flow: s.flow, Flags: segment.Ack, Acknowledged: 900009}, false),
+	}
+	is.NoErr(s.HandleAgentDatagram(1100*time.Millisecond, s.owner, f.Append(nil)))
+	is.Equal(s.sent, []peer.Addr{s.owner})
+	is.Equal(s.resets, 1)
+}
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -117,7 +117,7 @@
 
 // update records an agent's report unless it is outdated. It reports whether the
 // agent is new, and whether its upstream may have restarted or ended since the
-// report before. It returns the last heartbeat that the agent had reported before.
+// report before. It returns the last heartbeat that is known of the start before.
 func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool, before heardStart) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -138,7 +138,11 @@
 	}
 	before = m.heard[from]
 	if status.Upstream != "" {
-		m.heard[from] = before.next(now, status)
+		next := before.next(now, status)
+		if next.start == before.start {
+			before = next // the report that ends a start names its last heartbeat
+		}
+		m.heard[from] = next
 	}
 	// The agent knows no upstream, as after its own restart: the last known start is kept.
 	if status.Upstream == "" && old.Service == status.Service {
--- a/pkg/director/returned_test.go
+++ b/pkg/director/returned_test.go
@@ -100,9 +100,7 @@
 	flow := segment.NewFlow(vipAt(1), vipAt(2))
 	is.NoErr(d.HandleAgentDatagram(time.Second, owner, proven(flow, peer.StartID("u", 5), 9)))
 	is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 9}, false)))
-	status.Sequence, status.Heartbeat = 2, 2
-	d.HandleReport(1500*time.Millisecond, owner, status)
-	status.Sequence, status.Taking, status.Empty = 3, false, true
+	status.Sequence, status.Heartbeat, status.Taking, status.Empty = 2, 2, false, true
 	d.HandleReport(2*time.Second, owner, status)
 	is.Equal(resets, 1)
 	is.Equal(d.Flows(), 0)
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -130,8 +130,8 @@
 	return out
 }
 
-// RestoreFlows adds flows that an earlier process stored to the cache, except those that an
-// agent has announced or that are searched for. A flow that was restored before is replaced. A
+// RestoreFlows adds flows that an earlier process stored to the cache, except those that are in
+// use. A flow that was restored before and had no packet since is replaced. A
 // proven flow is reset, see resetOtherStarts, as soon as its agent has reported another start of
 // its upstream, or no known start and no running upstream.
 func (d *Director) RestoreFlows(now time.Duration, flows []FlowSnapshot) {
@@ -149,7 +149,7 @@
 func (d *Director) restoreFlow(now time.Duration, r FlowSnapshot) {
 	s := d.lock(r.Flow)
 	defer s.mu.Unlock()
-	if rec := s.flows[r.Flow]; rec != nil && (!rec.restored || rec.searching) {
+	if rec := s.flows[r.Flow]; rec != nil && (!rec.restored || rec.searching || rec.lastSeen > rec.created) {
 		return
 	}
 	proven := r.Proven && r.Acknowledged != 0
--- a/pkg/director/snapshot_test.go
+++ b/pkg/director/snapshot_test.go
@@ -138,3 +138,18 @@
 		})
 	}
 }
+
+// TestRestoreKeepsFlowInUse guards against a reset that the caller ignores: between the two parts
+// of the saved flows, the caller has acknowledged more than the second part says.
+func TestRestoreKeepsFlowInUse(t *testing.T) {
+	is := is.New(t)
+	s := newGoneSite(0)
+	flow := segment.NewFlow(vipAt(9), vipAt(2))
+	saved := director.FlowSnapshot{Flow: flow, Owner: s.owner, Service: peer.Service("maklerlink"), Start: peer.StartID("new", 5), Acknowledged: 9, Proven: true}
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{saved})
+	is.NoErr(s.HandleCallerPacket(1100*time.Millisecond, platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 500009}, false)))
+	s.RestoreFlows(1200*time.Millisecond, []director.FlowSnapshot{saved})
+	got := s.SnapshotFlows(1200*time.Millisecond, 10)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Acknowledged, uint32(500009))
+}
--- a/pkg/relay/announce_test.go
+++ b/pkg/relay/announce_test.go
@@ -42,3 +42,24 @@
 	want.Sequence, want.Heartbeat = 1101, 1
 	is.Equal(restarted.owned, want)
 }
+
+// TestLateProbeResetsNoLaterFlow guards against the reset of living flows by an agent that is slow:
+// the connection of its probe was refused, and before it handles that, the next start of the
+// upstream has sent a packet or a heartbeat.
+func TestLateProbeResetsNoLaterFlow(t *testing.T) {
+	for _, heartbeat := range []bool{false, true} {
+		is := is.New(t)
+		r := newHarness()
+		probed := r.now
+		r.now += 500 * time.Millisecond
+		if heartbeat {
+			r.relay.HandleHeartbeat(r.now, relay.Upstream{ID: "u-2", Sequence: 1, Slots: 2, Born: 200})
+		}
+		r.open(t, 1, 1)
+		is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Open|segment.Ack, 1000, 2, 0)))
+		r.take()
+		is.True(!r.relay.MarkEnded(r.now, probed))
+		is.Equal(r.take(), "")
+		is.True(!r.relay.Status(r.now).Empty)
+	}
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -215,7 +215,7 @@
 	case "restart":
 		r.start()
 	case "ended":
-		r.relay.MarkEnded(r.now)
+		r.relay.MarkEnded(r.now, r.now)
 	case "assume-ready":
 		r.relay.AssumeReady(2)
 	case "wait":
--- a/pkg/relay/reuse_test.go
+++ b/pkg/relay/reuse_test.go
@@ -62,7 +62,7 @@
 	is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Open|segment.Ack, 899999, 60001, 0)))
 	is.Equal(r.relay.Status(r.now).Running, 0) // the request of the earlier flow is given up
 	r.take()
-	r.relay.MarkEnded(r.now)
+	r.relay.MarkEnded(r.now, r.now)
 	is.Equal(r.take(), "reset 900000")
 }
 
@@ -77,7 +77,7 @@
 	r.take()
 	is.NoErr(r.relay.HandleFrame(r.now, r.frame(peer.Deliver, nil, r.packet(1, segment.Ack|segment.Fin, 551, 5200, 0))))
 	is.Equal(r.take(), "deliver 10.0.0.2")
-	r.relay.MarkEnded(r.now)
+	r.relay.MarkEnded(r.now, r.now)
 	is.Equal(r.take(), "reset 900000000")
 }
 
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -84,8 +84,10 @@
 		return false
 	}
 	s.recordSequence(h)
-	if h.Has(segment.Open) && s.acknowledged == 0 {
-		s.acknowledged = h.Sequence + 1 // the caller's first acknowledgement
+	if h.Has(segment.Open) && (s.acknowledged == 0 || s.phase == offered) {
+		// The caller's first acknowledgement. What it has acknowledged before was sent by
+		// another upstream, which has accepted a copy of the opening.
+		s.acknowledged = h.Sequence + 1
 	}
 	if s.phase == offered {
 		s.phase = accepted
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -91,15 +91,23 @@
 	r.deregistered, r.deregisteredAt = true, now
 }
 
-// MarkEnded records that the upstream's process has ended, and resets its flows. It
-// is to be called only if it is proven that no process listens at the upstream's
-// address. It reports whether the end was not yet known.
-func (r *Relay) MarkEnded(now time.Duration) bool {
+// MarkEnded records that the upstream's process has ended, and resets its flows. It is to be
+// called only if it is proven that no process listened at the upstream's address at the time
+// probed. A process that has sent a heartbeat or a packet since has started after that: then
+// MarkEnded resets only the flows of which no packet came since. It reports whether the end was
+// not yet known.
+func (r *Relay) MarkEnded(now, probed time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.startID != 0 && r.lastHeartbeatAt > probed {
+		return false
+	}
+	r.resetFlows(now, r.resetReason(now, ConnectionRefused, 0), func(s *flowState) bool { return s.upstreamSeen <= probed })
+	if len(r.flows) > 0 {
+		return false
+	}
 	changed := !r.ended
 	r.alive, r.ended = false, true
-	r.resetAll(now, ConnectionRefused)
 	return changed
 }
 
