--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -205,9 +205,10 @@
 		Proof Proof
 		// Start is the start of the upstream that the flow was recorded with, and Reported
 		// the one that its agent has reported since, 0 if none runs. Both are set for
-		// OtherStart, NoUpstreamRuns and OwnerChanged; Reported for OwnerFound, too.
+		// OtherStart, NoUpstreamRuns, OwnerChanged and AnnouncementIgnored; Reported for
+		// OwnerFound, too.
 		Start, Reported uint32
-		// Previous is the recorded owner, for OwnerChanged.
+		// Previous is the recorded owner, for OwnerChanged and AnnouncementIgnored.
 		Previous peer.Addr
 		// Restored means that the record of the flow was restored by RestoreFlows and not
 		// confirmed by its agent since.
@@ -245,33 +246,29 @@
 
 	// flowRecord is the cached state of a flow.
 	flowRecord struct {
-		owner                         peer.Addr      // first candidate until open; zero while searching
-		service                       peer.ServiceID // of the owner, 0 if unknown
-		startID                       uint32         // of the owner's upstream, 0 if unknown
-		confirmed                     bool           // the caller has acknowledged what the owner's upstream has sent
-		startProven                   bool           // the start has sent a heartbeat after the flow was opened, see RestoreFlows
-		sequence                      uint32         // next sequence number of the owner's upstream when it was announced
-		heartbeat                     uint32         // a heartbeat of the start after which the flow was opened
-		open                          bool           // the owner has reported that its upstream holds the flow
-		closed                        bool           // the caller has sent Fin or Reset
-		searching                     bool
-		sequenceKnown, heartbeatKnown bool
-		inconclusive                  bool          // the search ended without proof that there is no owner
-		gone                          *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
-		stages                        []searchStage // stages of the search
-		round                         uint8         // number of the flow's current search
-		searchedAt                    time.Duration // when the search was started or repeated
-		acknowledged                  uint32        // last acknowledgement number of the caller, 0 if none
-		lastSeen                      time.Duration // time of the last packet or Owned message
-		waitingPlace                  waitingPlace  // of an opening that was returned
-		ownedAt                       time.Duration // when the owner last announced the flow; 0 if it has not
-		restored                      bool          // by RestoreFlows; the owner has not announced the flow since
-		created                       time.Duration // when the flow was last placed, else when the record was added
-		openingAt                     time.Duration // when the caller sent the opening that was placed
-		copies                        uint32        // number of the last copy of that opening
-		link                          capacity.Flow // account of the flow's bytes, unused without a Link
-		placed                        bool          // openedBy is set
-		openedBy                      uint32        // sequence number of the opening that was placed
+		owner        peer.Addr      // first candidate until open; zero while searching
+		service      peer.ServiceID // of the owner, 0 if unknown
+		startID      uint32         // of the owner's upstream, 0 if unknown
+		evidence                    // of where the flow is open
+		open         bool           // the owner has reported that its upstream holds the flow
+		closed       bool           // the caller has sent Fin or Reset
+		searching    bool
+		inconclusive bool          // the search ended without proof that there is no owner
+		gone         *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
+		stages       []searchStage // stages of the search
+		round        uint8         // number of the flow's current search
+		searchedAt   time.Duration // when the search was started or repeated
+		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
+		lastSeen     time.Duration // time of the last packet or Owned message
+		waitingPlace waitingPlace  // of an opening that was returned
+		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
+		restored     bool          // by RestoreFlows; the owner has not announced the flow since
+		created      time.Duration // when the flow was last placed, else when the record was added
+		openingAt    time.Duration // when the caller sent the opening that was placed
+		copies       uint32        // number of the last copy of that opening
+		link         capacity.Flow // account of the flow's bytes, unused without a Link
+		placed       bool          // openedBy is set
+		openedBy     uint32        // sequence number of the opening that was placed
 	}
 
 	// Option configures a Director.
--- a/pkg/director/evidence.go
+++ b/pkg/director/evidence.go
@@ -33,12 +33,24 @@
 	heardRetention = defaultFlowLifetime
 )
 
-// heardStart is the last heartbeat that an agent has reported.
-type heardStart struct {
-	start     uint32 // of the upstream
-	heartbeat uint64 // its number
-	at        time.Duration
-}
+type (
+	// evidence is what was observed of a flow at its recorded owner and start.
+	evidence struct {
+		confirmed      bool   // the caller has acknowledged what the owner's upstream has sent
+		startProven    bool   // the start has sent a heartbeat after the flow was opened, see RestoreFlows
+		sequence       uint32 // next sequence number of the owner's upstream when it was announced
+		sequenceKnown  bool
+		heartbeat      uint32 // number of a heartbeat of the start after which the flow was opened
+		heartbeatKnown bool
+	}
+
+	// heardStart is the last heartbeat that an agent has reported.
+	heardStart struct {
+		start     uint32 // of the upstream
+		heartbeat uint64 // its number
+		at        time.Duration
+	}
+)
 
 // next returns the last heartbeat after a report that names an upstream.
 func (h heardStart) next(now time.Duration, status peer.Status) heardStart {
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -155,6 +155,6 @@
 	proven := r.Proven && r.Acknowledged != 0
 	s.flows[r.Flow] = &flowRecord{
 		owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
-		restored: true, confirmed: proven, startProven: proven,
+		restored: true, evidence: evidence{confirmed: proven, startProven: proven},
 	}
 }
