--- a/pkg/director/settled_test.go
+++ b/pkg/director/settled_test.go
@@ -89,3 +89,17 @@
 	is.True(d.Settled(time.Minute))
 	is.Equal(d.Holders()[vipAt(3)], []string{"maklerlink", "exposeserver"})
 }
+
+// TestOldReportOfNoUpstreamProvesNothing guards against the reset of a living flow: an agent has
+// reported that no upstream runs, was restarted, and has not reached this entry since. Its upstream
+// may have started again and accepted flows.
+func TestOldReportOfNoUpstreamProvesNothing(t *testing.T) {
+	is := is.New(t)
+	d := director.New(peer.Addr{10, 0, 1, 1}, platform.PacketCodec{}, nil)
+	d.MergeHolders(nil, 1)
+	ended, other := peer.Addr{10, 0, 0, 1}, peer.Addr{10, 0, 0, 2}
+	d.SetRegistered(0, []peer.Addr{ended, other})
+	d.HandleReport(time.Second, ended, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Empty: true})
+	d.HandleReport(3*time.Second, other, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "v", Taking: true, Slots: 2})
+	is.True(!d.Settled(3 * time.Second))
+}
