--- a/pkg/director/gone_test.go
+++ b/pkg/director/gone_test.go
@@ -110,20 +110,30 @@
 // one opening were accepted by two upstreams, the entry has recorded the one with which the
 // caller did not go on, and that one restarts or ends.
 func TestFlowOpenAtAnotherUpstreamIsNotReset(t *testing.T) {
+	start := peer.StartID("u", 5)
+	earlierBuild := peer.OwnerMessage{Kind: peer.Owned, Start: start}
+	present := peer.OwnerMessage{Kind: peer.Owned, Start: start, Sequence: 2000, SequenceKnown: true, Heartbeat: 1, HeartbeatKnown: true}
+	noNumber := peer.OwnerMessage{Kind: peer.Owned, Start: start, Heartbeat: 1, HeartbeatKnown: true}
 	for _, c := range []struct {
-		name   string
-		status peer.Status // of the recorded agent, some seconds later
+		name         string
+		announcement peer.OwnerMessage
+		status       peer.Status // of the recorded agent, some seconds later
 	}{
-		{"restarts", peer.Status{Upstream: "u", Born: 6, Taking: true, Slots: 2}},
-		{"ends", peer.Status{Upstream: "u", Born: 5, Empty: true, Slots: 2}},
+		{"restarts, announced by an earlier build", earlierBuild, peer.Status{Upstream: "u", Born: 6, Taking: true, Slots: 2}},
+		{"ends, announced by an earlier build", earlierBuild, peer.Status{Upstream: "u", Born: 5, Empty: true, Slots: 2}},
+		{"restarts, announced without the upstream's number", noNumber, peer.Status{Upstream: "u", Born: 6, Taking: true, Slots: 2}},
+		{"restarts", present, peer.Status{Upstream: "u", Born: 6, Taking: true, Slots: 2}},
+		{"ends", present, peer.Status{Upstream: "u", Born: 5, Heartbeat: 3, Empty: true, Slots: 2}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newLateSite(t)
 			owner := s.place.Candidates[0]
-			is.NoErr(s.HandleAgentDatagram(time.Second, owner, peer.OwnerMessage{Kind: peer.Owned, Flow: s.flow, Start: peer.StartID("u", 5)}.Append(nil)))
+			c.announcement.Flow = s.flow
+			is.NoErr(s.HandleAgentDatagram(time.Second, owner, c.announcement.Append(nil)))
 			s.send(t, segment.Ack) // acknowledges what the other upstream has sent
-			c.status.Incarnation, c.status.Sequence, c.status.Service = 1, 2, "maklerlink"
+			s.HandleReport(3*time.Second, owner, peer.Status{Incarnation: 1, Sequence: 2, Service: "maklerlink", Upstream: "u", Born: 5, Heartbeat: 3, Taking: true, Slots: 2})
+			c.status.Incarnation, c.status.Sequence, c.status.Service = 1, 3, "maklerlink"
 			s.HandleReport(5*time.Second, owner, c.status)
 			is.Equal(s.port.resets, 0)
 			s.port.frames = nil
@@ -149,6 +159,26 @@
 	is.Equal(s.port.last().Candidates, []peer.Addr{owner})
 }
 
+// TestAnnouncedLaterFlowIsNotReset guards against a reset that the living flow's caller would see if
+// the numbers of both flows were close: a later flow with the same addresses was opened through
+// another entry at the same start of an upstream, whose agent has announced it here.
+func TestAnnouncedLaterFlowIsNotReset(t *testing.T) {
+	is := is.New(t)
+	s := newLateSite(t)
+	owner := s.place.Candidates[0]
+	is.NoErr(s.HandleAgentDatagram(time.Second, owner, proven(s.flow, peer.StartID("u", 5), 900001)))
+	s.send(t, segment.Ack)
+	later := peer.OwnerMessage{
+		Kind: peer.Owned, Flow: s.flow, Start: peer.StartID("u", 5), Sequence: 800000009, SequenceKnown: true, Heartbeat: 2, HeartbeatKnown: true,
+	}
+	status := peer.Status{Incarnation: 1, Sequence: 2, Service: "maklerlink", Upstream: "u", Born: 5, Heartbeat: 2, Taking: true, Slots: 2}
+	s.HandleReport(2*time.Second, owner, status)
+	is.NoErr(s.HandleAgentDatagram(3*time.Second, owner, later.Append(nil)))
+	status.Sequence, status.Born = 3, 6
+	s.HandleReport(4*time.Second, owner, status)
+	is.Equal(s.port.resets, 0)
+}
+
 // TestLaterFlowWithSameAddressesIsNotReset guards against the reset of a living flow: its caller
 // uses the address and port of an earlier flow, which was proven to be open at another upstream.
 func TestLaterFlowWithSameAddressesIsNotReset(t *testing.T) {
--- a/pkg/director/late_test.go
+++ b/pkg/director/late_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -58,20 +59,22 @@
 func TestLateReturnedOpeningKeepsFlowInUse(t *testing.T) {
 	for _, c := range []struct {
 		name      string
-		delivered bool // the copy was sent to the recorded owner only
-		searched  bool // the request was returned, and a search for the owner has started
+		flags     segment.Flags // of the caller's packet, Ack by default
+		delivered bool          // the copy was sent to the recorded owner only
+		searched  bool          // the request was returned, and a search for the owner has started
 		stage     int
 	}{
 		{name: "first stage"},
 		{name: "last stage", stage: 3},
 		{name: "last stage during a search", stage: 3, searched: true},
+		{name: "last stage during a search for a packet without an acknowledgement", flags: segment.Fin, stage: 3, searched: true},
 		{name: "copy for the owner", delivered: true},
 		{name: "copy for the owner during a search", delivered: true, searched: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newLateSite(t)
-			s.send(t, segment.Ack)
+			s.send(t, cmp.Or(c.flags, segment.Ack))
 			if c.searched {
 				f := s.port.last()
 				s.returned(t, f, f.Packet)
