An agent asks its upstream which flows it holds before it resets them

Cause: the agent took the order in which heartbeats arrive for the order in which they were sent. While it is paused, the last heartbeat of an ended start waits in its socket, and so do openings. The next start accepts an opening, then the old heartbeat is handled, which counted as proof that the ended start had run after the flow was opened; the first heartbeat of the next start then reset the flow.

Change: after a heartbeat of another start, the agent delivers the last packet of each flow's caller once more. An upstream bounces a packet of a flow that it does not hold, and only that resets the flow (proof bounced-by-upstream). A flow of whose caller the agent has only the opening is left to the caller's next packet. After a deregistration, flows are reset once a connection to the upstream's address is refused: the call may be late, and the next start may have the same id. Both hold without the time of the start, and at an agent that was restarted. Heartbeats that may have waited during a pause no longer count as evidence in reports (Status.Heartbeat), on which entries rest what they save.

--- a/internal/explain/proof.go
+++ b/internal/explain/proof.go
@@ -148,6 +148,9 @@
 	switch {
 	case l.Proof == "":
 		return ""
+	case l.Message == endedMessage && l.Proof == "bounced-by-upstream":
+		return fmt.Sprintf("the upstream bounced the caller's last packet, after start %d had sent a heartbeat %.0f ms after the last one of start %d", l.ReportedStart, l.AgeMS, l.Start)
+	// Builds up to c9ab9af reset flows on these two alone.
 	case l.Message == endedMessage && l.Proof == "other-start":
 		return fmt.Sprintf("start %d of the upstream sent a heartbeat %.0f ms after the last one of start %d", l.ReportedStart, l.AgeMS, l.Start)
 	case l.Message == endedMessage && l.Proof == "connection-refused":
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -33,6 +33,9 @@
 	// assumedSlots is the number of slots assumed for an upstream until its
 	// first heartbeat.
 	assumedSlots = 1
+	// maxLeavingPause bounds the time between two probes of an upstream that has deregistered
+	// and still accepts connections. It doubles from tickInterval on.
+	maxLeavingPause = time.Second
 	// closeDelay is the pause of a stopping agent before it closes its sockets,
 	// so that its last packets and messages are sent first.
 	closeDelay = 20 * time.Millisecond
@@ -43,6 +46,12 @@
 	discoveryInterval = time.Second
 )
 
+// probePause spaces the probes of an upstream that has deregistered.
+type probePause struct {
+	next  time.Duration // when the next probe is due
+	pause time.Duration // after the last one
+}
+
 // Agent is the process beside an upstream. It delivers the packets of callers
 // to the upstream, sends the upstream's packets to the callers, and reports the
 // upstream's state to the entries.
@@ -55,6 +64,7 @@
 	upstreamEnded atomic.Bool   // checkOverdueUpstream found that the upstream has ended; reset by a heartbeat
 	stopping      atomic.Bool
 	evacuations   *evacuations
+	leavingProbes probePause // used by checkLeavingUpstream only
 
 	// Used by handleHello only.
 	coldRate        float64 // openings a second while the upstream is cold, 0 without a limit
@@ -101,6 +111,7 @@
 		{"tick", every(tickInterval, func() { a.relay.Tick(a.now()) })},
 		{"report", a.everyWithFastStart(a.needsFastStart, reportInterval, a.report)},
 		{"check upstream", every(a.settings.HeartbeatInterval/4, a.checkOverdueUpstream)},
+		{"check leaving upstream", every(tickInterval, a.checkLeavingUpstream)},
 		{"discover entries", a.discoverEntries},
 		a.metricsTask(map[string]func() any{
 			"status":     func() any { return a.relay.Status(a.now()) },
@@ -138,11 +149,14 @@
 }
 
 // stop sends goodbye messages to the entries, resets the flows of an upstream that has
-// deregistered, returns the openings that wait, and closes the sockets. Unless the upstream
-// has deregistered, the goodbye message announces that the agent will be restarted.
+// deregistered and ended, returns the openings that wait, and closes the sockets. Unless the
+// upstream has deregistered, the goodbye message announces that the agent will be restarted.
 func (a *Agent) stop() {
 	a.stopping.Store(true)
 	a.sendMessage(peer.Goodbye, peer.GoodbyeMessage{Restarting: !a.relay.Deregistered()}, a.entries.known(a.now())...)
+	if a.relay.Deregistered() {
+		a.probeEnd()
+	}
 	a.relay.Stop(a.now())
 	time.Sleep(closeDelay)
 	if err := errors.Join(a.peerConn.Close(), a.upstreamConn.Close()); err != nil {
@@ -353,14 +367,51 @@
 	if last == 0 || a.upstreamEnded.Load() || a.now()-last < time.Duration(overdueIntervals*float64(a.settings.HeartbeatInterval)) {
 		return
 	}
-	probed := a.now()
-	if listening, known := a.upstreamListens(); known && !listening && a.relay.MarkEnded(a.now(), probed) {
-		a.upstreamEnded.Store(true)
+	if a.probeEnd() {
 		a.log.Warn("upstream ended", zap.Duration("since-heartbeat", a.now()-last))
 		a.report()
 	}
 }
 
+// checkLeavingUpstream probes an upstream that has deregistered, until a refused connection proves
+// that its process has ended. The deregistration alone does not: it may be late.
+func (a *Agent) checkLeavingUpstream() {
+	now := a.now()
+	if !a.relay.Leaving(now) {
+		a.leavingProbes = probePause{}
+		return
+	}
+	if !a.leavingProbes.due(now) {
+		return
+	}
+	if a.probeEnd() {
+		a.log.Info("upstream ended", zap.Bool("deregistered", true))
+		a.report()
+	}
+}
+
+// probeEnd probes the upstream, and marks it as ended if the connection is refused. It reports
+// whether the end was not yet known.
+func (a *Agent) probeEnd() bool {
+	probed := a.now()
+	listening, known := a.upstreamListens()
+	if !known || listening || !a.relay.MarkEnded(a.now(), probed) {
+		return false
+	}
+	a.upstreamEnded.Store(true)
+	return true
+}
+
+// due reports whether the next probe is due, and if so doubles the pause after it.
+func (p *probePause) due(now time.Duration) bool {
+	if now < p.next {
+		return false
+	}
+	p.pause = min(max(2*p.pause, tickInterval), maxLeavingPause)
+	p.next = now + p.pause
+	return true
+}
+
 // probeUpstreamAtStart checks an upstream that may have been started before the
 // agent, so that the agent need not wait for the upstream's next heartbeat. It
 // marks the upstream as ended if no process listens at its address, and assumes
--- a/internal/fleet/reset_log_test.go
+++ b/internal/fleet/reset_log_test.go
@@ -23,14 +23,14 @@
 		counter string
 	}{
 		{
-			relay.Reset{Proof: relay.OtherStart, Start: 5, Reported: 7, Age: 812 * time.Millisecond},
-			map[string]any{"proof": "other-start", "start": uint32(5), "reported-start": uint32(7), "age-ms": 812 * time.Millisecond},
-			"reset-by-proof-other-start",
+			relay.Reset{Proof: relay.BouncedByUpstream, Start: 5, Reported: 7, Age: 812 * time.Millisecond},
+			map[string]any{"proof": "bounced-by-upstream", "start": uint32(5), "reported-start": uint32(7), "age-ms": 812 * time.Millisecond},
+			"reset-by-proof-bounced-by-upstream",
 		},
 		{
-			relay.Reset{Proof: relay.Deregistered, Start: 5, Age: time.Second},
-			map[string]any{"proof": "deregistered", "start": uint32(5), "age-ms": time.Second},
-			"reset-by-proof-deregistered",
+			relay.Reset{Proof: relay.ConnectionRefused, Start: 5, Age: time.Second},
+			map[string]any{"proof": "connection-refused", "start": uint32(5), "age-ms": time.Second},
+			"reset-by-proof-connection-refused",
 		},
 		{
 			relay.Reset{Proof: relay.ConnectionRefused},
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -70,6 +70,7 @@
 	w.Every(tickInterval, tickInterval, func() bool {
 		if running() {
 			i.relay.Tick(w.now())
+			i.checkLeavingUpstream()
 			i.applyEvacuation()
 			i.checkEvacuation()
 		}
@@ -159,10 +160,20 @@
 	})
 }
 
+// checkLeavingUpstream ends an upstream that has deregistered and does not run any more.
+func (i *Instance) checkLeavingUpstream() {
+	if now := i.world.now(); i.relay.Leaving(now) && i.upstream == nil && i.relay.MarkEnded(now, now) {
+		i.sendReport()
+	}
+}
+
 // StopAgent stops the agent gracefully: it sends a goodbye message, and the
 // instance is removed after tickInterval, unless the agent has been started again
 // by then.
 func (i *Instance) StopAgent() {
+	if i.relay.Deregistered() && i.upstream == nil {
+		i.relay.MarkEnded(i.world.now(), i.world.now())
+	}
 	i.relay.Stop(i.world.now())
 	i.broadcast(peer.Goodbye, peer.GoodbyeMessage{})
 	i.world.After(tickInterval/10, i.sendReport) // a report in flight that arrives after the goodbye
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -60,9 +60,14 @@
 // context that deliver stored under the packet's tag. The flow is removed from the
 // table, unless the packet is a retransmitted opening of a flow that the upstream
 // has accepted. A packet without a context is dropped, see BouncedWithoutContext. So is one
-// whose tag an earlier process gave it and this one has given to a packet of another flow.
+// whose tag an earlier process gave it and this one has given to a packet of another flow. A
+// bounced question resets the flow, see ask.
 func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
 	c := &r.contexts[h.Tag%contextCount]
+	if c.tag == h.Tag && c.flow == h.Flow && c.question {
+		r.handleReturnedQuestion(now, h.Flow)
+		return
+	}
 	if c.tag != h.Tag || c.flow != h.Flow || c.kind == 0 {
 		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
 		return
--- a/pkg/relay/lifetimes_test.go
+++ b/pkg/relay/lifetimes_test.go
@@ -72,7 +72,7 @@
 				r.start()
 				for lifetime := 1; lifetime <= lastLifetime; lifetime++ {
 					r.relay.HandleHeartbeat(r.now, heartbeatOf(lifetime, 5, withBorn))
-					r.now += 2 * lifetimeHeartbeat
+					r.advance(2 * lifetimeHeartbeat)
 				}
 				last := heartbeatOf(lastLifetime, 6, withBorn)
 				r.relay.HandleHeartbeat(r.now, last)
@@ -88,7 +88,7 @@
 					}
 					r.relay.Tick(r.now)
 					is.Equal(statusWithoutFlows(r), want)
-					r.now += lifetimeHeartbeat
+					r.advance(lifetimeHeartbeat)
 					last.Sequence++
 					want.Heartbeat = last.Sequence
 					r.relay.HandleHeartbeat(r.now, last)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -65,9 +65,16 @@
 	// foreignOverlap is for how long heartbeats of an upstream that has ended may arrive
 	// after its successor has started: they wait in a socket while the agent is paused.
 	foreignOverlap = 3 * time.Second
-	// deregistrationGrace is the time after its deregistration from which an
-	// upstream counts as ended. It exits at once; this covers late timers.
+	// deregistrationGrace is the time after its deregistration from which an upstream that
+	// does not listen any more has ended. It exits at once; this covers late timers.
 	deregistrationGrace = 150 * time.Millisecond
+	// maxTickGap is a gap between ticks that shows that the agent was paused: several
+	// intervals of ticks.
+	maxTickGap = 500 * time.Millisecond
+	// freshAfter is the time after a pause from which a heartbeat cannot have waited in the
+	// agent's socket: an upstream gives up a call after a second, and calls that have waited
+	// are handled at once.
+	freshAfter = time.Second
 )
 
 const (
@@ -107,9 +114,10 @@
 		Proof Proof
 		// Start is the peer.StartID of the upstream that held the flow, 0 if unknown.
 		Start uint32
-		// Reported is the start whose heartbeat is the proof, for OtherStart.
+		// Reported is the start that has sent a heartbeat since, for BouncedByUpstream.
 		Reported uint32
-		// Age is the time since the last heartbeat of Start, 0 if Start is unknown.
+		// Age is the time from the last heartbeat of Start until that of Reported or, without
+		// one, until the reset; 0 if Start is unknown.
 		Age time.Duration
 	}
 
@@ -158,7 +166,9 @@
 		startID         uint32        // peer.StartID of the upstream, 0 if unknown
 		replaced        recentStarts  // starts of the upstream before that one
 		lastHeartbeatAt time.Duration // when the upstream's last heartbeat came
-		heartbeats      uint64        // number of heartbeats that were accepted
+		evidence        uint64        // number of the last heartbeat that cannot have waited, see freshAfter
+		tickAt          time.Duration // of the last Tick, 0 before the first
+		resumedAt       time.Duration // end of the last pause of the agent, 0 if there was none
 		alive           bool          // the upstream runs, or is assumed to, and has not deregistered
 		ended           bool          // the upstream's process has ended, and with it all its flows
 		deregisteredAt  time.Duration
@@ -191,8 +201,10 @@
 		callerDone   bool               // the caller has sent Fin
 		upstreamDone bool               // the upstream has sent Fin
 		entry        peer.Addr          // of the caller's last packet, zero if unknown
-		heartbeats   uint64             // Relay.heartbeats when the upstream's first packet came
-		start        uint32             // Relay.startID at that time
+		question     []byte             // the caller's last packet that can serve as a question
+		questionAck  uint32             // its acknowledgement number
+		asked        *Reset             // what a reset rests on if the upstream bounces the question; nil if none was sent
+		start        uint32             // Relay.startID when the upstream's first packet came
 		lastSequence uint64             // number of the last heartbeat at that time
 		upstreamSeen time.Duration      // when the upstream's last packet came
 		lastSeen     time.Duration      // when the last packet of either end came
@@ -204,6 +216,7 @@
 	// the upstream, to restore the frame if the upstream bounces the packet.
 	deliveryContext struct {
 		flow       segment.Flow
+		question   bool // the packet was delivered by ask
 		forced     bool
 		best       int
 		bestLoad   uint8
@@ -240,6 +253,9 @@
 	RefusedEvacuated Event = "refused-evacuated"
 	// RefusedByUpstream: the upstream bounced a packet.
 	RefusedByUpstream Event = "refused-by-upstream"
+	// Asked: the caller's last packet was delivered to the upstream once more, as another
+	// start of it may hold the flow.
+	Asked Event = "asked"
 	// ResetUpstreamEnded: a flow was reset, as the upstream's process that held
 	// it has ended.
 	ResetUpstreamEnded Event = "reset-upstream-ended"
@@ -255,12 +271,11 @@
 
 // The proofs of ResetUpstreamEnded.
 const (
-	// OtherStart: a heartbeat of another start of the upstream has arrived.
-	OtherStart Proof = "other-start"
+	// BouncedByUpstream: after a heartbeat of another start, the upstream has bounced a packet of
+	// the flow.
+	BouncedByUpstream Proof = "bounced-by-upstream"
 	// ConnectionRefused: no process listens at the upstream's address.
 	ConnectionRefused Proof = "connection-refused"
-	// Deregistered: the upstream has deregistered.
-	Deregistered Proof = "deregistered"
 )
 
 // The latencies that a relay measures.
@@ -391,15 +406,13 @@
 // under the tag for handleBounced.
 func (r *Relay) deliver(now time.Duration, f *peer.Frame, h segment.Header, s *flowState) {
 	r.recordCallerPacket(now, f, h, s)
-	r.lastTag++
-	c := &r.contexts[r.lastTag%contextCount]
-	c.tag, c.flow, c.kind, c.uncertain = r.lastTag, h.Flow, f.Kind, f.Uncertain
+	c := r.nextContext(h.Flow)
+	c.kind, c.uncertain = f.Kind, f.Uncertain
 	c.forced, c.best, c.bestLoad = f.Forced, f.Best, f.BestLoad
 	c.stage, c.round, c.hop, c.entry, c.service = f.Stage, f.Round, f.Hop, f.Entry, f.Service
 	c.patience = f.Patience
-	c.candidates = append(c.candidates[:0], f.Candidates...)
-	r.codec.SetTag(f.Packet, r.lastTag)
-	r.port.ToUpstream(f.Packet)
+	c.candidates = append(c.candidates, f.Candidates...)
+	r.toUpstream(f.Packet)
 }
 
 // forward sends a frame to the next agent on its list. At the end of the list, an
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -25,8 +25,12 @@
 	vip   = netip.MustParseAddrPort("198.18.0.1:443")
 )
 
-// maxData is the largest number of bytes of data in a packet.
-const maxData = 1200
+const (
+	// maxData is the largest number of bytes of data in a packet.
+	maxData = 1200
+	// tickInterval is the interval of the ticks of an agent.
+	tickInterval = 100 * time.Millisecond
+)
 
 // harness is the Port of a relay under test and records what the relay sends.
 type harness struct {
@@ -38,9 +42,17 @@
 	owned peer.OwnerMessage // the last announcement
 	why   []relay.Reset     // of the resets since the last "proofs"
 	sent  map[uint32]string // starts that sent a heartbeat: ID/BORN
+	asks  bool              // the next packet for the upstream is a question
+	asked [][]byte          // questions since the last "bounce-questions"
 }
 
 func (r *harness) ToUpstream(packet []byte) {
+	if r.asks {
+		r.asks = false
+		r.asked = append(r.asked, append([]byte(nil), packet...))
+		r.out = append(r.out, "question")
+		return
+	}
 	r.last = append([]byte(nil), packet...)
 	r.out = append(r.out, "upstream")
 }
@@ -89,9 +101,14 @@
 	r.out = append(r.out, text+" "+to.String())
 }
 
-func (r *harness) RecordLatency(relay.Measure, time.Duration)            {}
-func (r *harness) RecordDecision(relay.Event, segment.Flow, *peer.Frame) {}
-func (r *harness) RecordReset(_ segment.Flow, why relay.Reset)           { r.why = append(r.why, why) }
+func (r *harness) RecordLatency(relay.Measure, time.Duration) {}
+
+func (r *harness) RecordDecision(event relay.Event, _ segment.Flow, _ *peer.Frame) {
+	r.asks = r.asks || event == relay.Asked
+}
+
+func (r *harness) RecordReset(_ segment.Flow, why relay.Reset) { r.why = append(r.why, why) }
+
 func caller(n int) segment.Flow {
 	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
 }
@@ -127,6 +144,9 @@
 //	budget                           sends "budget USED of LIMIT, passed on N", for the next ">"
 //	bounce                           the upstream bounces the last packet delivered to it
 //	keep | bounce-kept               keeps that packet, which the upstream bounces later
+//	bounce-questions                 the upstream bounces each "question": a caller's last packet
+//	                                 that the relay has delivered once more
+//	leaving                          sends "leaving" if the relay asks for a probe, for the next ">"
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -165,6 +185,14 @@
 	r.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), platform.PacketCodec{}, r, relay.WithColdBounds(1.5, 1))
 }
 
+// advance lets time pass, with the ticks of an agent that is not paused.
+func (r *harness) advance(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now = min(r.now+tickInterval, end)
+		r.relay.Tick(r.now)
+	}
+}
+
 // number returns the integer at index i, 0 if there is none.
 func number(words []string, i int) int {
 	if i >= len(words) {
@@ -245,6 +273,19 @@
 	case "bounce-kept":
 		platform.MarkBounced(r.kept)
 		return r.fromUpstream(r.kept)
+	case "bounce-questions":
+		questions := r.asked
+		r.asked = nil
+		for _, q := range questions {
+			platform.MarkBounced(q)
+			if err := r.fromUpstream(q); err != nil {
+				return err
+			}
+		}
+	case "leaving":
+		if r.relay.Leaving(r.now) {
+			r.out = append(r.out, "leaving")
+		}
 	case "bounce":
 		platform.MarkBounced(r.last)
 		return r.fromUpstream(r.last)
--- a/pkg/relay/reuse_test.go
+++ b/pkg/relay/reuse_test.go
@@ -109,6 +109,7 @@
 	r := newHarness()
 	r.open(t, 1, 500)
 	is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Open|segment.Ack, 4999, 501, 0)))
+	is.NoErr(r.relay.HandleFrame(r.now, r.frame(peer.Deliver, nil, r.packet(1, segment.Ack, 501, 5000, 50))))
 	r.take()
 	r.now = 10 * time.Second
 	is.True(!r.relay.HandleHeartbeat(r.now, relay.Upstream{ID: "u-1", Born: 100, Sequence: 2, Slots: 2}))
@@ -120,6 +121,8 @@
 	r.now += 3100 * time.Millisecond
 	other.Age += 3100 * time.Millisecond
 	is.True(r.relay.HandleHeartbeat(r.now, other))
+	is.Equal(r.take(), "question")
+	is.NoErr(r.run([]string{"bounce-questions"}))
 	is.Equal(r.take(), "reset 5000")
 }
 
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -46,6 +46,7 @@
 func (r *Relay) recordCallerPacket(now time.Duration, f *peer.Frame, h segment.Header, s *flowState) {
 	s.lastSeen, s.callerSeen = now, now
 	s.entry = f.Entry
+	s.keepQuestion(h, f.Packet)
 	if h.Has(segment.Ack) {
 		s.acknowledged = h.Acknowledged
 	}
@@ -76,7 +77,7 @@
 		r.openFlows++
 	}
 	if s.upstreamSeen == 0 {
-		s.heartbeats, s.start, s.lastSequence = r.heartbeats, r.startID, r.upstream.Sequence
+		s.recordStart(r)
 	}
 	s.lastSeen, s.upstreamSeen = now, now
 	if s.phase == offered && s.opening != nil && h.Has(segment.Reset) {
@@ -95,6 +96,9 @@
 		r.port.RecordLatency(Accepting, now-s.waitingSince)
 		r.announce(h.Flow, s, s.entry)
 	}
+	if s.asked != nil && !h.Has(segment.Reset) {
+		r.endQuestion(h.Flow, s)
+	}
 	if h.Length > 0 && s.running {
 		r.port.RecordLatency(Answering, now-s.waitingSince)
 		if failed = r.answerTimes.record(h.Flow.VIP(), now-s.waitingSince); !failed {
@@ -111,6 +115,9 @@
 	return failed
 }
 
+// recordStart records the present start of the upstream as the one that holds the flow.
+func (s *flowState) recordStart(r *Relay) { s.start, s.lastSequence = r.startID, r.upstream.Sequence }
+
 // announce sends an Owned message for the flow to the entry, with what shows that the flow is
 // open at the present start of this upstream. It does nothing if the entry is not known.
 func (r *Relay) announce(flow segment.Flow, s *flowState, entry peer.Addr) {
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -13,8 +13,8 @@
 // is not newer than the last one of the same start is ignored, unless its sequence
 // is 0, and so is a delayed one of an earlier start or of one that has deregistered, or one
 // of an upstream that already ran while the present one still reported, see delayed and
-// foreign. The first heartbeat of a new start after a known one resets the flows of that one,
-// see resetEndedStart, and puts the upstream on trial.
+// foreign. The first heartbeat of a new start after a known one asks the upstream which flows it
+// holds, see askAll, and puts the upstream on trial.
 // HandleHeartbeat reports whether the agent should send its status to other
 // processes at once: if this is the first heartbeat of a start, or since the upstream
 // deregistered or ended, or if draining has begun or ended.
@@ -31,24 +31,45 @@
 	case !same && (r.delayed(now, u.Born, startID) || r.foreign(now, u)):
 		return false
 	}
-	if !same && r.startID != 0 {
+	restarted := !same && r.startID != 0
+	why := r.resetReason(now, BouncedByUpstream, startID)
+	if restarted {
 		r.replaced.add(r.startID)
-		r.resetEndedStart(now, u.Age, startID)
 		r.detector.recordRestart(now)
 	}
+	if !same || r.isFresh(now) {
+		r.evidence = u.Sequence
+	}
 	r.lastHeartbeatAt = now
-	r.heartbeats++
-	r.recordWarmUp(now, u, !same && r.startID != 0)
+	r.recordWarmUp(now, u, restarted)
 	changed := !same || !r.alive || u.Draining != r.upstream.Draining
 	r.upstream, r.startID = u, startID
 	r.load.SetSlots(now, u.Slots)
 	r.alive, r.ended, r.deregistered = true, false, false
+	if restarted {
+		r.askAll(why)
+	}
 	if !same {
 		r.announceAll()
 	}
 	return changed
 }
 
+// isFresh reports whether a heartbeat that is handled now cannot have waited while the agent was
+// paused. One that has waited does not show that its start ran after the flows that were opened
+// before the heartbeat is handled.
+func (r *Relay) isFresh(now time.Duration) bool {
+	r.notePause(now)
+	return r.resumedAt == 0 || now-r.resumedAt >= freshAfter
+}
+
+// notePause records the end of a pause of the agent, if the last Tick is too long ago.
+func (r *Relay) notePause(now time.Duration) {
+	if r.tickAt > 0 && now-r.tickAt > maxTickGap {
+		r.resumedAt = now
+	}
+}
+
 // delayed reports whether a heartbeat is of a start before the present one, which still
 // reports: by the time of the start, or, as upstreams need not send it, because the present one
 // or another has replaced that start. If the present one has been silent for
@@ -78,9 +99,9 @@
 }
 
 // HandleDeregistration records that the upstream with the id is about to stop. It
-// gets no new flows from now on, and Tick resets its flows after
-// deregistrationGrace. An id other than that of the last heartbeat is ignored;
-// before the first heartbeat any id is accepted.
+// gets no new flows from now on. Its flows are reset once nothing listens at its address, see
+// Leaving: the call may be late, and the next start may have the same id. An id other than that of
+// the last heartbeat is ignored; before the first heartbeat any id is accepted.
 func (r *Relay) HandleDeregistration(now time.Duration, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,6 +112,14 @@
 	r.deregistered, r.deregisteredAt = true, now
 }
 
+// Leaving reports whether the upstream has deregistered and should have exited by now, so that the
+// agent should probe whether a process still listens at its address.
+func (r *Relay) Leaving(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace
+}
+
 // MarkEnded records that the upstream's process has ended, and resets its flows. It is to be
 // called only if it is proven that no process listened at the upstream's address at the time
 // probed. A process that has sent a heartbeat or a packet since has started after that: then
@@ -143,17 +172,14 @@
 func (r *Relay) acceptsFlows() bool { return r.alive && !r.upstream.Draining && !r.evacuated }
 
 // Tick removes flows without packets: accepted ones after the lifetime, the others
-// after closedRetention at the latest. It resets the upstream's flows
-// deregistrationGrace after its deregistration. It stops counting requests without an
+// after closedRetention at the latest. It stops counting requests without an
 // answer as running after runningTimeout, and updates the number of active flows. It
 // must be called periodically.
 func (r *Relay) Tick(now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace {
-		r.ended = true
-		r.resetAll(now, Deregistered)
-	}
+	r.notePause(now)
+	r.tickAt = now
 	r.activeFlows = 0
 	for flow, s := range r.flows {
 		if s.phase == accepted && now-s.callerSeen <= activeWindow {
@@ -170,16 +196,12 @@
 	r.serveWaiting(now)
 }
 
-// Stop resets the flows of the upstream if it has deregistered, and returns the openings that
-// wait for it to their entries. It is to be called before the agent itself stops, after its
-// goodbye message, so that the entries place these openings elsewhere. Later openings are
-// forwarded.
+// Stop returns the openings that wait for the upstream to their entries. It is to be called before
+// the agent itself stops, after its goodbye message, so that the entries place these openings
+// elsewhere. Later openings are forwarded.
 func (r *Relay) Stop(now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.deregistered {
-		r.resetAll(now, Deregistered)
-	}
 	r.alive = false
 	r.serveWaiting(now)
 }
@@ -200,7 +222,7 @@
 	return peer.Status{
 		Upstream:    r.upstream.ID,
 		Born:        r.upstream.Born,
-		Heartbeat:   r.upstream.Sequence,
+		Heartbeat:   r.evidence,
 		Taking:      r.acceptsFlows(),
 		Empty:       r.ended,
 		Failing:     r.detector.isEjected(now),
@@ -212,26 +234,6 @@
 	}
 }
 
-// resetAll resets all flows, as the upstream's process has ended.
-func (r *Relay) resetAll(now time.Duration, p Proof) {
-	r.resetFlows(now, r.resetReason(now, p, 0), func(*flowState) bool { return true })
-}
-
-// resetEndedStart resets the flows of the start that has sent the last heartbeat, as another one
-// with the id reported has begun age ago. A flow is one of the ended start if the upstream has
-// sent no packet of it since then. If the age is unknown, 0, it is one of the ended start if that
-// has sent a heartbeat after the flow was opened. The others may have been opened at the new
-// start, before its first heartbeat: they stay in the table, and the upstream bounces the packets
-// of those that it does not hold.
-func (r *Relay) resetEndedStart(now, age time.Duration, reported uint32) {
-	r.resetFlows(now, r.resetReason(now, OtherStart, reported), func(s *flowState) bool {
-		if age > 0 {
-			return s.upstreamSeen <= now-age
-		}
-		return s.heartbeats < r.heartbeats
-	})
-}
-
 // resetReason returns what a reset of the flows of the upstream's last start rests on.
 func (r *Relay) resetReason(now time.Duration, p Proof, reported uint32) Reset {
 	why := Reset{Proof: p, Start: r.startID, Reported: reported}
@@ -241,12 +243,13 @@
 	return why
 }
 
-// announceAll announces all open flows, with the upstream's start id, to their
+// announceAll announces the open flows, with the upstream's start id, to their
 // entries. A new start may have accepted flows before its first heartbeat, which
-// were announced with the id of the last start, 0 if none was known.
+// were announced with the id of the last start, 0 if none was known. Those that the upstream was
+// asked for are announced when it sends a packet of them.
 func (r *Relay) announceAll() {
-	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
-		if s := r.flows[flow]; s.phase == accepted {
+	for _, flow := range r.sortedFlows() {
+		if s := r.flows[flow]; s.phase == accepted && s.asked == nil {
 			r.announce(flow, s, s.entry)
 		}
 	}
@@ -255,20 +258,30 @@
 // resetFlows removes the flows that have ended with the upstream's process. For the open ones
 // it sends a reset to the caller.
 func (r *Relay) resetFlows(now time.Duration, why Reset, ended func(*flowState) bool) {
-	// The sorted order makes simulated runs repeatable.
-	for _, flow := range slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare) {
+	for _, flow := range r.sortedFlows() {
 		s := r.flows[flow]
-		if !ended(s) {
-			continue
-		}
-		if s.phase == accepted {
-			r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
-			r.port.RecordReset(flow, why)
+		switch {
+		case !ended(s):
+		case s.phase == accepted:
+			r.resetFlow(now, flow, s, why)
+		default:
+			r.remove(now, flow, s)
 		}
-		r.remove(now, flow, s)
 	}
 }
 
+// resetFlow resets an open flow and removes it.
+func (r *Relay) resetFlow(now time.Duration, flow segment.Flow, s *flowState, why Reset) {
+	r.port.ToCaller(flow, r.codec.Reset(flow, s.acknowledged))
+	r.port.RecordReset(flow, why)
+	r.remove(now, flow, s)
+}
+
+// sortedFlows returns the flows in the table, sorted so that simulated runs are repeatable.
+func (r *Relay) sortedFlows() []segment.Flow {
+	return slices.SortedFunc(maps.Keys(r.flows), segment.Flow.Compare)
+}
+
 // Flows returns the number of flows in the table, and how many of them are open.
 func (r *Relay) Flows() (held, open int) {
 	r.mu.Lock()
