Scripts for which flows an agent asks its upstream

The upstream's reset of a flow that was asked for ends the question: its bounce reset the flow once more.

--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -64,12 +64,12 @@
 // bounced question resets the flow, see ask.
 func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
 	c := &r.contexts[h.Tag%contextCount]
-	if c.tag == h.Tag && c.flow == h.Flow && c.question {
-		r.handleReturnedQuestion(now, h.Flow)
+	if c.tag != h.Tag || c.flow != h.Flow || c.kind == 0 && !c.question {
+		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
 		return
 	}
-	if c.tag != h.Tag || c.flow != h.Flow || c.kind == 0 {
-		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
+	if c.question {
+		r.handleReturnedQuestion(now, h.Flow)
 		return
 	}
 	if s := r.flows[h.Flow]; s != nil && (!h.Opens() || s.phase == offered) {
--- a/pkg/relay/pause_test.go
+++ b/pkg/relay/pause_test.go
@@ -101,6 +101,8 @@
 	r.open(t, 1, 1)
 	is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Open|segment.Ack, 1000, 2, 0)))
 	r.take()
+	r.advance(time.Second)
+	is.True(!r.relay.Leaving(r.now))
 	r.relay.HandleDeregistration(r.now, "u-1")
 	r.advance(time.Second)
 	is.True(r.relay.Leaving(r.now)) // a probe of the agent decides
--- a/pkg/relay/question.go
+++ b/pkg/relay/question.go
@@ -20,14 +20,9 @@
 // upstreams that answer one opening are taken for the same in 1 of 28,000 cases.
 const confirmWindow = 76800
 
-// canAsk reports whether a packet of a caller can serve as a question.
-func canAsk(h segment.Header) bool {
-	return h.Has(segment.Ack) && !h.Has(segment.Open) && !h.Has(segment.Fin) && !h.Has(segment.Reset)
-}
-
-// keepQuestion keeps a packet of the caller, if it can serve as a question.
+// keepQuestion keeps a packet of the caller as the question of its flow, unless it is an opening.
 func (s *flowState) keepQuestion(h segment.Header, packet []byte) {
-	if canAsk(h) {
+	if h.Has(segment.Ack) {
 		s.question, s.questionAck = append(s.question[:0], packet...), h.Acknowledged
 	}
 }
@@ -69,12 +64,14 @@
 	r.resetFlow(now, flow, s, *s.asked)
 }
 
-// endQuestion records that the upstream has sent a packet of a flow that was asked for: its
-// present start holds it, which is announced to the flow's entry.
-func (r *Relay) endQuestion(flow segment.Flow, s *flowState) {
+// endQuestion records that the upstream has sent a packet of a flow that was asked for. Unless the
+// packet resets the flow, the present start holds it, which is announced to the flow's entry.
+func (r *Relay) endQuestion(h segment.Header, s *flowState) {
 	s.asked = nil
-	s.recordStart(r)
-	r.announce(flow, s, s.entry)
+	if !h.Has(segment.Reset) {
+		s.recordStart(r)
+		r.announce(h.Flow, s, s.entry)
+	}
 }
 
 // nextContext returns the context of the next packet that is delivered to the upstream, empty
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -96,8 +96,8 @@
 		r.port.RecordLatency(Accepting, now-s.waitingSince)
 		r.announce(h.Flow, s, s.entry)
 	}
-	if s.asked != nil && !h.Has(segment.Reset) {
-		r.endQuestion(h.Flow, s)
+	if s.asked != nil {
+		r.endQuestion(h, s)
 	}
 	if h.Length > 0 && s.running {
 		r.port.RecordLatency(Answering, now-s.waitingSince)
