A failed soak prints the lines of its broken flows

Its error named the flow, but the logs were in the directory of the test and went with it, so the reset could only be guessed at.

An upstream that held the flow is named with the time at which it accepted it.

What agents logged did not tell the order of heartbeats around a pause. An agent now logs one line when it goes on after a pause of more than 0.5 s, each heartbeat in the second after it, and each heartbeat that does not count as the last one. They are sampled and queued as all lines are.

--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -126,6 +126,18 @@
 	return l.lines
 }
 
+// ProcessLines returns the lines of a process from a time up to another one that are not about a
+// flow, in order of time: its start and end, and what it learned of other processes.
+func (l *Logs) ProcessLines(process string, from, to time.Time) []Line {
+	var out []Line
+	for _, line := range l.all() {
+		if line.Process == process && line.Flow == "" && !line.At.Before(from) && line.At.Before(to) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // leftOut returns the times at which processes reported that they had left out
 // lines.
 func (l *Logs) leftOut() []time.Time {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -36,6 +36,11 @@
 	// closeDelay is the pause of a stopping agent before it closes its sockets,
 	// so that its last packets and messages are sent first.
 	closeDelay = 20 * time.Millisecond
+	// pauseThreshold is the time between two ticks after which the agent logs that it was
+	// paused, as by a suspended machine. Until afterPause has passed since, it logs each
+	// heartbeat: those that waited meanwhile may be of an ended start.
+	pauseThreshold = 500 * time.Millisecond
+	afterPause     = time.Second
 	// minHeartbeatInterval is the shortest heartbeat interval in the settings of an agent.
 	minHeartbeatInterval = 10 * time.Millisecond
 	// discoveryInterval is how often an agent without a live entry reads the
@@ -53,6 +58,8 @@
 	sequence      atomic.Uint64 // number of the last report
 	lastHeartbeat atomic.Int64  // now() at the last heartbeat; 0 before the first
 	upstreamEnded atomic.Bool   // checkOverdueUpstream found that the upstream has ended; reset by a heartbeat
+	lastTick      atomic.Int64  // now() at the last tick; 0 before the first
+	pauseEnd      atomic.Int64  // now() at the first tick after the last pause; 0 before the first pause
 	stopping      atomic.Bool
 	evacuations   *evacuations
 
@@ -98,7 +105,7 @@
 	tasks := []task{
 		{"peers", func(context.Context) error { return a.receive("peers", a.peerConn, a.handlePeerDatagram) }},
 		{"upstream", func(context.Context) error { return a.receive("upstream", a.upstreamConn, a.handleUpstreamPacket) }},
-		{"tick", every(tickInterval, func() { a.relay.Tick(a.now()) })},
+		{"tick", every(tickInterval, func() { a.recordTick(a.now()); a.relay.Tick(a.now()) })},
 		{"report", a.everyWithFastStart(a.needsFastStart, reportInterval, a.report)},
 		{"check upstream", every(a.settings.HeartbeatInterval/4, a.checkOverdueUpstream)},
 		{"discover entries", a.discoverEntries},
@@ -312,21 +319,47 @@
 		return
 	}
 	now := a.now()
+	start := peer.StartID(h.ID, h.Born)
+	if a.pausedLately(now) {
+		a.log.Info("heartbeat after a pause", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start))
+	}
 	changed := a.relay.HandleHeartbeat(now, relay.Upstream{
 		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor, Age: age(h.Born, time.Now()),
 	})
-	if a.relay.Upstream() == h.ID {
+	present := a.relay.Status(now)
+	if present.Upstream == h.ID {
 		a.lastHeartbeat.Store(int64(now))
 		a.upstreamEnded.Store(false)
 	}
+	if present.Upstream != h.ID || present.Heartbeat != h.Sequence {
+		a.log.Info("heartbeat ignored", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start),
+			zap.String("present", present.Upstream), zap.Uint64("present-sequence", present.Heartbeat))
+	}
 	if changed {
 		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
-			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", peer.StartID(h.ID, h.Born)))
+			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", start))
 		a.report()
 	}
 	writeJSON(w, struct{}{})
 }
 
+// recordTick records the time of a tick, and logs a pause of this process before it.
+func (a *Agent) recordTick(now time.Duration) {
+	last := time.Duration(a.lastTick.Swap(int64(now)))
+	if last == 0 || now-last <= pauseThreshold {
+		return
+	}
+	a.pauseEnd.Store(int64(now))
+	a.log.Info("agent was paused", zap.Duration("gap-ms", now-last))
+}
+
+// pausedLately reports whether this process was paused until at most afterPause ago. It need
+// not have ticked since.
+func (a *Agent) pausedLately(now time.Duration) bool {
+	last, end := time.Duration(a.lastTick.Load()), time.Duration(a.pauseEnd.Load())
+	return last != 0 && now-last > pauseThreshold || end != 0 && now-end < afterPause
+}
+
 // age returns the time since an upstream started, given in Unix milliseconds by
 // the clock of the instance that it shares with the agent. It is 0 if the start
 // is unknown or, after the clock was set back, in the future.
--- /dev/null
+++ b/internal/fleet/pause_log_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/relay"
+	"hickoryhook.example/platform"
+)
+
+// TestHeartbeatsAfterPauseAreLogged guards against a reset whose cause the logs cannot tell: the
+// agent was paused, and the order in which it handled the heartbeats that waited is not known.
+func TestHeartbeatsAfterPauseAreLogged(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	p := &process{
+		settings: &platform.Settings{Service: "s", UpstreamAddress: netip.MustParseAddrPort("10.0.0.2:443")}, log: zap.New(core),
+		self: peer.Addr{10, 0, 0, 2}, started: time.Now().Add(-time.Minute), entries: newEntrySet(agentEntryTimeout),
+	}
+	a := &Agent{process: p}
+	a.relay = relay.New(p.self, peer.Service("s"), p.codec, a)
+	messages := func() []string {
+		var out []string
+		for _, line := range lines.TakeAll() {
+			out = append(out, line.Message)
+		}
+		return out
+	}
+	heartbeat := func(id, sequence string) {
+		req := httptest.NewRequest(http.MethodPut, "/instances/"+id, strings.NewReader(`{"service":"s","slots":1,"state":"ready","seq":`+sequence+`,"born":0}`))
+		w := httptest.NewRecorder()
+		a.controlHandler().ServeHTTP(w, req)
+		is.Equal(w.Code, http.StatusOK)
+	}
+	last := a.now()
+	a.recordTick(last)
+	heartbeat("u-1", "1")
+	is.Equal(messages(), []string{"upstream"})
+	heartbeat("u-1", "2")
+	a.recordTick(last + pauseThreshold)
+	is.Equal(messages(), nil)
+
+	a.lastTick.Store(int64(a.now() - pauseThreshold - time.Second)) // not ticked since the pause
+	heartbeat("u-2", "1")
+	heartbeat("u-1", "3") // of the ended start
+	a.recordTick(a.now())
+	heartbeat("u-2", "1") // again
+	is.Equal(messages(), []string{
+		"heartbeat after a pause", "upstream", "heartbeat after a pause", "heartbeat ignored", "agent was paused",
+		"heartbeat after a pause",
+	})
+	a.pauseEnd.Store(int64(a.now() - afterPause))
+	heartbeat("u-2", "3")
+	heartbeat("u-2", "2") // overtaken
+	ignored := lines.FilterMessage("heartbeat ignored").All()
+	is.Equal(messages(), []string{"heartbeat ignored"})
+	got := ignored[0].ContextMap()
+	is.Equal(got, map[string]any{
+		"upstream": "u-2", "sequence": uint64(2), "start": peer.StartID("u-2", 0), "present": "u-2", "present-sequence": uint64(3),
+	})
+}
--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,7 @@
 		lastPort uint16 // of the flow that was opened last
 		// firstFlow is the flow that was opened first.
 		firstFlow segment.Flow
+		settled   atomic.Bool // no request may be lost from now on
 
 		// The counts of Report.
 		requests, answered, lost, resets, broken int
@@ -122,7 +124,7 @@
 		if ok {
 			c.increment(&c.answered)
 		} else {
-			c.increment(&c.lost)
+			c.recordLost(f)
 			f = nil
 		}
 		pause := requestInterval
@@ -235,8 +237,18 @@
 		return
 	}
 	c.broken++
-	c.brokenFlows = append(c.brokenFlows, fmt.Sprintf("%s reset flow %s at %s, which upstream %s held",
-		processAt(reset.from), f.flow, reset.at.Format(timeFormat), holder))
+	text := fmt.Sprintf("%s reset flow %s at %s, which upstream %s held", processAt(reset.from), f.flow, reset.at.Format(timeFormat), holder)
+	c.brokenFlows = append(c.brokenFlows, text)
+	c.site.incidents.add(incident{reset.at, f.flow.String(), reset.from.String(), text})
+}
+
+// recordLost counts a lost request, which is an incident once the faults have settled.
+func (c *callers) recordLost(f *callerFlow) {
+	c.increment(&c.lost)
+	if c.settled.Load() {
+		now := time.Now()
+		c.site.incidents.add(incident{now, f.flow.String(), "", fmt.Sprintf("a request of flow %s is lost at %s", f.flow, now.Format(timeFormat))})
+	}
 }
 
 // report returns the counts of the callers and the first flow.
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -102,7 +102,8 @@
 		entries   []*entryHost
 		upstreams []*upstream
 
-		requests requestLog
+		requests  requestLog
+		incidents incidents
 	}
 
 	// requestLog records the requests that upstreams have run.
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -92,9 +92,9 @@
 // processes, crashes upstreams or makes them reset their flows, and injects faults
 // into the store and into the connections to it. It returns an error if a flow was
 // reset while its upstream was running, if one was opened in an evacuated failure domain, if a
-// request ran more than once, or if requests were lost after the settle time. With any error,
-// the logs of the processes stay in the directory that the
-// error names.
+// request ran more than once, or if requests were lost after the settle time: then it also prints
+// what the logs tell of the first of these flows. With any error, the logs of the processes stay
+// in the directory that the error names.
 func Soak(ctx context.Context, c SoakConfig) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "hickoryhook-soak-")
 	if err != nil {
@@ -131,6 +131,7 @@
 	if err := sleep(ctx, soakSettleTime); err != nil {
 		return Report{}, err
 	}
+	k.callers.settled.Store(true)
 	before := k.callers.report()
 	if err := sleep(ctx, soakQuietTime); err != nil {
 		return Report{}, err
@@ -143,6 +144,7 @@
 	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.Repeated > 0 || lost > 0 {
 		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
 			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n"))
+		failure = errors.Join(failure, writeEvidence(c.Out, dir, k.site.incidents.first(), k.timeline.faults()))
 	}
 	if c.HTMLReport != nil {
 		err = k.timeline.writeReport(c.HTMLReport, fmt.Sprintf("Soak, seed %d", c.Seed), report, failure)
--- a/internal/fleetdemo/timeline.go
+++ b/internal/fleetdemo/timeline.go
@@ -78,6 +78,17 @@
 	t.marks = append(t.marks, faultMark{at: time.Since(t.begin), fault: fault})
 }
 
+// faults returns the faults with their times, in order.
+func (t *timeline) faults() []timedFault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []timedFault
+	for _, m := range t.marks {
+		out = append(out, timedFault{t.begin.Add(m.at), m.fault})
+	}
+	return out
+}
+
 // recordSamples adds a sample every sampleInterval until the context ends.
 func (t *timeline) recordSamples(ctx context.Context, c *callers, upstreams []*upstream) {
 	for sleep(ctx, sampleInterval) == nil {
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -60,6 +60,7 @@
 		// open is set once the caller has acknowledged isn. Until then the caller may go on
 		// with another upstream that has accepted the same opening.
 		open                  bool
+		accepted              time.Time
 		isn, nextSeq, wantSeq uint32
 		last                  []byte
 		// Until the flow is open, the answer to the opening is repeated at this time.
@@ -144,7 +145,8 @@
 }
 
 // holds reports whether the upstream runs and holds the flow, and returns its initial
-// sequence number of the flow and its id, with a note if the flow is not open yet.
+// sequence number of the flow and its id, with the time at which it accepted the flow and a note
+// if that is not open yet.
 func (u *upstream) holds(flow segment.Flow) (isn uint32, id string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -152,10 +154,14 @@
 	if u.terminated || f == nil {
 		return 0, "", false
 	}
+	id = u.id
+	if !f.accepted.IsZero() {
+		id += f.accepted.Format(", accepted " + timeFormat + ",")
+	}
 	if !f.open {
-		return f.isn, u.id + ", unacknowledged,", true
+		id = strings.TrimSuffix(id, ",") + ", unacknowledged,"
 	}
-	return f.isn, u.id, true
+	return f.isn, id, true
 }
 
 // flowCount returns the number of flows that the upstream holds.
@@ -310,7 +316,8 @@
 		delete(u.flows, h.Flow)
 		return u.packet(h.Flow, segment.Reset, f.nextSeq, 0, 0), nil
 	case h.Opens() && f == nil:
-		f = &heldFlow{isn: u.random.Uint32(), wantSeq: h.Sequence + 1, repeatAt: time.Now().Add(answerRepeat)}
+		now := time.Now()
+		f = &heldFlow{accepted: now, isn: u.random.Uint32(), wantSeq: h.Sequence + 1, repeatAt: now.Add(answerRepeat)}
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
 		u.site.checkOpening(u.settings.FailureDomain)
@@ -327,7 +334,8 @@
 		return f.last, nil // a retransmitted request that was answered
 	}
 	if u.site.requests.recordRun(h.Flow, h.Sequence) {
-		u.site.log.Error("request ran again", zap.String("upstream", u.id), zap.Stringer("flow", h.Flow))
+		now := time.Now()
+		u.site.incidents.add(incident{now, h.Flow.String(), u.settings.Address.String(), fmt.Sprintf("upstream %s runs a request of flow %s again at %s", u.id, h.Flow, now.Format(timeFormat))})
 	}
 	f.open = true
 	f.wantSeq += uint32(h.Length)
