--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -108,7 +108,7 @@
 	tasks := []task{
 		{"peers", func(context.Context) error { return a.receive("peers", a.peerConn, a.handlePeerDatagram) }},
 		{"upstream", func(context.Context) error { return a.receive("upstream", a.upstreamConn, a.handleUpstreamPacket) }},
-		{"tick", every(tickInterval, func() { a.relay.Tick(a.now()) })},
+		{"tick", every(tickInterval, a.tick)},
 		{"report", a.everyWithFastStart(a.needsFastStart, reportInterval, a.report)},
 		{"check upstream", every(a.settings.HeartbeatInterval/4, a.checkOverdueUpstream)},
 		{"check leaving upstream", every(tickInterval, a.checkLeavingUpstream)},
@@ -326,21 +326,37 @@
 		return
 	}
 	now := a.now()
+	start := peer.StartID(h.ID, h.Born)
+	if !a.relay.Fresh(now) {
+		a.log.Info("heartbeat after a pause", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start))
+	}
 	changed := a.relay.HandleHeartbeat(now, relay.Upstream{
 		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor, Age: age(h.Born, time.Now()),
 	})
-	if a.relay.Upstream() == h.ID {
+	present, sequence := a.relay.LastHeartbeat()
+	if present == h.ID {
 		a.lastHeartbeat.Store(int64(now))
 		a.upstreamEnded.Store(false)
 	}
+	if present != h.ID || sequence != h.Sequence {
+		a.log.Info("heartbeat ignored", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start),
+			zap.String("present", present), zap.Uint64("present-sequence", sequence))
+	}
 	if changed {
 		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
-			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", peer.StartID(h.ID, h.Born)))
+			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", start))
 		a.report()
 	}
 	writeJSON(w, struct{}{})
 }
 
+// tick lets the relay expire what is old, and logs a pause of this process.
+func (a *Agent) tick() {
+	if gap := a.relay.Tick(a.now()); gap > 0 {
+		a.log.Info("agent was paused", zap.Duration("gap-ms", gap))
+	}
+}
+
 // age returns the time since an upstream started, given in Unix milliseconds by
 // the clock of the instance that it shares with the agent. It is 0 if the start
 // is unknown or, after the clock was set back, in the future.
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -55,19 +55,29 @@
 	return changed
 }
 
-// isFresh reports whether a heartbeat that is handled now cannot have waited while the agent was
+// Fresh reports whether a heartbeat that is handled now cannot have waited while the agent was
 // paused. One that has waited does not show that its start ran after the flows that were opened
 // before the heartbeat is handled.
+func (r *Relay) Fresh(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isFresh(now)
+}
+
 func (r *Relay) isFresh(now time.Duration) bool {
 	r.notePause(now)
 	return r.resumedAt == 0 || now-r.resumedAt >= freshAfter
 }
 
-// notePause records the end of a pause of the agent, if the last Tick is too long ago.
-func (r *Relay) notePause(now time.Duration) {
-	if r.tickAt > 0 && now-r.tickAt > maxTickGap {
-		r.resumedAt = now
+// notePause records the end of a pause of the agent, if the last Tick is too long ago. It returns
+// the time since then, 0 if there was no pause.
+func (r *Relay) notePause(now time.Duration) time.Duration {
+	gap := now - r.tickAt
+	if r.tickAt == 0 || gap <= maxTickGap {
+		return 0
 	}
+	r.resumedAt = now
+	return gap
 }
 
 // delayed reports whether a heartbeat is of a start before the present one, which still
@@ -91,11 +101,12 @@
 	return now-r.lastHeartbeatAt <= olderStartSilence && r.lastHeartbeatAt > now-u.Age+foreignOverlap
 }
 
-// Upstream returns the id of the upstream's last start, empty if none is known.
-func (r *Relay) Upstream() string {
+// LastHeartbeat returns the id and the number in the last heartbeat that was not ignored, an empty
+// id if there was none.
+func (r *Relay) LastHeartbeat() (id string, sequence uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upstream.ID
+	return r.upstream.ID, r.upstream.Sequence
 }
 
 // HandleDeregistration records that the upstream with the id is about to stop. It
@@ -174,11 +185,12 @@
 // Tick removes flows without packets: accepted ones after the lifetime, the others
 // after closedRetention at the latest. It stops counting requests without an
 // answer as running after runningTimeout, and updates the number of active flows. It
-// must be called periodically.
-func (r *Relay) Tick(now time.Duration) {
+// must be called every 100 ms or so. It returns the time since the last call if that shows that
+// the agent was paused, else 0.
+func (r *Relay) Tick(now time.Duration) (paused time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.notePause(now)
+	paused = r.notePause(now)
 	r.tickAt = now
 	r.activeFlows = 0
 	for flow, s := range r.flows {
@@ -194,6 +206,7 @@
 		}
 	}
 	r.serveWaiting(now)
+	return paused
 }
 
 // Stop returns the openings that wait for the upstream to their entries. It is to be called before
