--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -251,7 +251,7 @@
 func (r *Relay) resetReason(now time.Duration, p Proof, reported uint32) Reset {
 	why := Reset{Proof: p, Start: r.startID, Reported: reported}
 	if r.startID != 0 {
-		why.Age = now - r.lastHeartbeatAt
+		why.Age = max(0, now-r.lastHeartbeatAt) // calls that are handled at once may be overtaken
 	}
 	return why
 }
