The soak with flaps pauses agents over restarts of their upstreams

With -flaps, one agent for each three upstreams, and one more, is now paused at a time, its upstream is killed within a heartbeat interval, is back within half of one, and the agent goes on half an interval to one and a half later. Heartbeats of the ended and of the new start and openings wait in its sockets meanwhile. The other faults of a seed stay as they are: the pauses have random numbers of their own.

--- a/internal/fleetdemo/evidence.go
+++ b/internal/fleetdemo/evidence.go
@@ -23,7 +23,7 @@
 	maxProcesses        = 4 // that handled the flow
 	maxOutages          = 10
 	beforeIncident      = 4 * time.Second // of the lines of processes
-	afterIncident       = time.Second
+	afterIncident       = 100 * time.Millisecond
 	logFilePattern      = "*.log"
 	omittedLinesMessage = "(%d earlier lines omitted)\n"
 )
@@ -91,7 +91,7 @@
 			processes = append(processes, line.Process)
 		}
 		report.Lines = last(w, report.Lines, maxFlowLines)
-		report.Outages = last(w, report.Outages, maxOutages)
+		report.Outages = report.Outages[:min(len(report.Outages), maxOutages)]
 		if err := report.Write(w); err != nil {
 			return errors.Wrap(err, "write lines of a flow")
 		}
--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -43,6 +43,9 @@
 	maxRound      = 6
 	// maxRounds bounds the rounds that run at the same time.
 	maxRounds = 3
+	// maxOverlapPause bounds the time between two pauses of an agent over a restart of its
+	// upstream.
+	maxOverlapPause = 1500 * time.Millisecond
 	// flappingUpstreams is the number of upstreams of which one flaps at a time.
 	flappingUpstreams = 3
 	// answerRepeat is the time after which an upstream repeats its answer to an opening, which
@@ -211,8 +214,9 @@
 // startFlaps starts the faults of SoakConfig.Flaps until end: series of restarts of upstreams,
 // and rounds in which entries and agents restart, which overlap.
 func (k *soak) startFlaps(running *sync.WaitGroup, c SoakConfig, end time.Time) {
-	const firstStream = 16 // of the seed's random numbers
+	const firstStream, firstPauseStream = 16, 1 << 16 // of the seed's random numbers
 	for n := range 1 + len(k.upstreams)/flappingUpstreams {
+		running.Go(func() { k.pauseAgentsUntil(end, rand.New(rand.NewPCG(c.Seed, uint64(firstPauseStream+n)))) })
 		running.Go(func() { k.flapUntil(end, rand.New(rand.NewPCG(c.Seed, uint64(firstStream+2*n)))) })
 	}
 	for n := range min(maxRounds, 1+len(k.children)/(2*maxRound)) {
@@ -253,6 +257,35 @@
 	}
 }
 
+// pauseAgentsUntil pauses one agent after the other while its upstream restarts quickly. The last
+// heartbeat of the ended start and the first ones of the next, of which the upstream does not
+// wait longer than an interval for the answer, wait with the openings until the agent goes on.
+func (k *soak) pauseAgentsUntil(end time.Time, random *rand.Rand) {
+	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	interval := k.site.heartbeats
+	for time.Now().Before(end) {
+		time.Sleep(below(maxOverlapPause))
+		u := k.upstreams[random.IntN(len(k.upstreams))]
+		agent := k.agentOf(u)
+		before, down, after := below(interval), below(interval/2), interval/2+below(interval)
+		k.announceFault(fmt.Sprintf("SIGSTOP %s for %s, after %s upstream %s is killed and is back after %s",
+			agent.name(), before+down+after, before, u.name, down))
+		agent.signal(syscall.SIGSTOP)
+		time.Sleep(before)
+		restarted := make(chan struct{})
+		go func() { defer close(restarted); u.restart(down, 0) }()
+		time.Sleep(down + after)
+		agent.signal(syscall.SIGCONT)
+		<-restarted
+	}
+}
+
+// agentOf returns the agent beside an upstream.
+func (k *soak) agentOf(u *upstream) *child {
+	n := slices.IndexFunc(k.children, func(c *child) bool { return c.role == roleAgent && c.settings["ip"] == u.settings.Address })
+	return k.children[n]
+}
+
 // restartRoundsUntil restarts entries or agents, some in turn, or all of a kind at once.
 func (k *soak) restartRoundsUntil(end time.Time, random *rand.Rand) {
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -54,7 +54,8 @@
 		// quick succession at random times. The version rises in uneven steps.
 		Moves bool
 		// Flaps restarts upstreams in quick succession, under a new id each time, and makes
-		// them slow, while entries and agents restart in turn or together. The seed also
+		// them slow, while entries and agents restart in turn or together, and agents are paused
+		// over a restart of their upstream. The seed also
 		// chooses the heartbeat interval and how the routers select entries.
 		Flaps bool
 		// LateHeartbeats makes the first heartbeat of some of these starts late, and lets flows
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -21,7 +21,8 @@
 stalls one or both directions. Exit code 1 if a flow was reset although its
 upstream was alive, if one was opened in an evacuated failure domain later than
 5 s after the request, if a request ran more than once, or if requests are lost
-after the last fault has settled; then the logs of the processes are kept.
+after the last fault has settled; then the logs of the processes are kept, and what
+they tell of the first of these flows is printed.
 
   -seed N        random seed, which fixes the order of the faults (default 1)
   -for D         how long faults are injected (default 20s)
@@ -31,7 +32,8 @@
   -moves         moves the route to another service, that of every second upstream,
                  and back in quick succession every second or so
   -flaps         upstreams flap, each start under a new id, and turn slow, while entries
-                 and agents restart in turn or together; callers pause between requests
+                 and agents restart in turn or together, and agents are paused over a
+                 restart of their upstream; callers pause between requests
   -late-heartbeats  with -flaps, upstreams accept flows before the first heartbeat of a
                  start, which comes late at times
   -callers N     flows that are kept open (default 40)
