--- a/internal/fleet/probe_test.go
+++ b/internal/fleet/probe_test.go
@@ -56,3 +56,26 @@
 	a.checkOverdueUpstream()
 	is.True(a.status().Empty)
 }
+
+// TestDeregisteredUpstreamThatListensHasNotEnded guards against resets of living flows by a late
+// deregistration of an ended start: the next one has the same id and listens at the address.
+func TestDeregisteredUpstreamThatListensHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	p, _ := newLoggedProcess()
+	a := &Agent{process: p}
+	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
+	is.Equal(heartbeat(a, "i-1", `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`), http.StatusOK)
+	upstream, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	a.settings.UpstreamAddress = upstream.Addr().(*net.TCPAddr).AddrPort()
+	a.relay.HandleDeregistration(a.now(), "i-1")
+	p.started = p.started.Add(-time.Minute) // time passes
+	is.True(a.relay.Leaving(a.now()))
+	a.checkLeavingUpstream()
+	is.True(!a.status().Empty)
+
+	is.NoErr(upstream.Close())
+	p.started = p.started.Add(-time.Minute)
+	a.checkLeavingUpstream()
+	is.True(a.status().Empty)
+}
--- a/test/resets_test.go
+++ b/test/resets_test.go
@@ -35,12 +35,15 @@
 )
 
 type (
-	// removal takes one check out of the code, for which its test is to fail.
+	// removal takes one check out of the code, for which its tests are to fail.
 	removal struct {
-		pkg, test string // the package's folder and the test, as for -run
-		hunks     []hunk
+		tests []removalTest // each of them
+		hunks []hunk
 	}
 
+	// removalTest is a test in the folder of its package, named as for -run.
+	removalTest struct{ pkg, name string }
+
 	// hunk replaces whole lines of a file that occur there once.
 	hunk struct {
 		file     string
@@ -57,7 +60,7 @@
 
 // readRemovals reads removalsFile. A section is one removal: its lines are
 //
-//	test PACKAGE TEST     the test that needs the check
+//	test PACKAGE TEST     a test that needs the check
 //	file PATH             the file of the hunks that follow
 //	-LINE, +LINE          a hunk: the lines to be replaced, then those that replace them
 func readRemovals(t *testing.T) map[string]removal {
@@ -99,12 +102,12 @@
 		case words[0] == "file" && len(words) == 2:
 			file = words[1]
 		case words[0] == "test" && len(words) == 3:
-			r.pkg, r.test = words[1], words[2]
+			r.tests = append(r.tests, removalTest{words[1], words[2]})
 		default:
 			return r, fmt.Errorf("unknown line %q", line)
 		}
 	}
-	if r.test == "" || len(r.hunks) == 0 {
+	if len(r.tests) == 0 || len(r.hunks) == 0 {
 		return r, errors.New("no test or no lines to remove")
 	}
 	return r, nil
@@ -175,28 +178,32 @@
 }
 
 // TestResetRowsHaveRemovals guards against a check before a reset that no test needs: each row of
-// the table of resets names the removals of its checks, and its tests are those of the removals.
-// A row without a proof names none, and one whose proof is not a check of ours says so.
+// the table of resets names the removals of its checks. Each of them has a test that the row names,
+// and each test of the row is one of them. A row without a proof names none, and one whose proof
+// is not a check of ours says so.
 func TestResetRowsHaveRemovals(t *testing.T) {
 	removals := readRemovals(t)
 	used := make(map[string]bool)
 	for _, row := range resetRows(t) {
-		var tests []string
-		for _, name := range names(row[removalColumn]) {
-			r, ok := removals[name]
-			if !ok {
-				t.Errorf("%s has no removal %s", removalsFile, name)
-			}
+		want, named := names(row[testColumn]), names(row[removalColumn])
+		missing := slices.Clone(want)
+		for _, name := range named {
 			used[name] = true
-			tests = append(tests, path.Base(r.test))
+			covered := false
+			for _, test := range removals[name].tests {
+				base := path.Base(test.name)
+				covered = covered || slices.Contains(want, base)
+				missing = slices.DeleteFunc(missing, func(m string) bool { return m == base })
+			}
+			if !covered {
+				t.Errorf("the row %q has no test of the removal %s", row, name)
+			}
 		}
-		slices.Sort(tests)
-		tests = slices.Compact(tests)
 		if strings.HasPrefix(row[proofColumn], "**none**") || row[removalColumn] == "no check" {
 			continue
 		}
-		if want := names(row[testColumn]); len(tests) == 0 || !slices.Equal(tests, want) {
-			t.Errorf("the row %q has the tests %q, its removals %q", row, want, tests)
+		if len(named) == 0 || len(missing) > 0 {
+			t.Errorf("the row %q has no removals for the tests %q", row, missing)
 		}
 	}
 	for name := range removals {
@@ -215,8 +222,8 @@
 	}
 }
 
-// TestRemovedChecksFailTests guards against a check before a reset that no test needs: the test of
-// each removal passes on the code, and fails once the check is removed. It takes some minutes and
+// TestRemovedChecksFailTests guards against a check before a reset that no test needs: the tests of
+// each removal pass on the code, and fail once the check is removed. It takes some minutes and
 // runs only with -remove-checks.
 func TestRemovedChecksFailTests(t *testing.T) {
 	if !*removeChecks {
@@ -224,14 +231,11 @@
 	}
 	removals := readRemovals(t)
 	binaries := make(map[string]string) // of the tests on the code as it is, by package
-	dir := t.TempDir()
 	for _, r := range removals {
-		if binaries[r.pkg] == "" {
-			binary := filepath.Join(dir, strings.ReplaceAll(r.pkg, "/", "-"))
-			if out, err := buildTests(binary, r.pkg, nil); err != nil {
-				t.Fatal(out)
+		for _, test := range r.tests {
+			if binaries[test.pkg] == "" {
+				binaries[test.pkg] = buildTests(t, test.pkg, nil)
 			}
-			binaries[r.pkg] = binary
 		}
 	}
 	for name, r := range removals {
@@ -241,62 +245,62 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if out, err := r.run(binaries[r.pkg]); err != nil || !strings.Contains(out, "--- PASS: "+r.test+" ") {
-				t.Fatalf("%s fails on the code as it is: %v\n%s", r.test, err, out)
-			}
-			binary := filepath.Join(t.TempDir(), "tests")
-			if out, err := buildTests(binary, r.pkg, files); err != nil {
-				t.Fatalf("does not compile:\n%s", out)
-			}
-			out, err := r.run(binary)
-			if err == nil {
-				t.Fatalf("%s passes without the check", r.test)
-			}
-			if !strings.Contains(out, "--- FAIL: "+r.test+" ") {
-				t.Fatalf("%s has not failed, but the run has: %v\n%s", r.test, err, out)
+			changed := make(map[string]string) // binaries without the check
+			for _, test := range r.tests {
+				if changed[test.pkg] == "" {
+					changed[test.pkg] = buildTests(t, test.pkg, files)
+				}
+				if out, err := test.run(binaries[test.pkg]); err != nil || !strings.Contains(out, "--- PASS: "+test.name+" ") {
+					t.Fatalf("%s does not pass on the code as it is: %v\n%s", test.name, err, out)
+				}
+				out, err := test.run(changed[test.pkg])
+				if err == nil {
+					t.Errorf("%s passes without the check", test.name)
+				} else if !strings.Contains(out, "--- FAIL: "+test.name+" ") {
+					t.Errorf("%s has not failed, but the run has: %v\n%s", test.name, err, out)
+				}
 			}
 		})
 	}
 }
 
-// buildTests builds the tests of a package. files are the contents of files that replace those of
-// the repository, by their paths.
-func buildTests(binary, pkg string, files map[string]string) (output string, err error) {
+// buildTests returns the binary of the tests of a package. files are the contents of files that
+// replace those of the repository, by their paths.
+func buildTests(t *testing.T, pkg string, files map[string]string) (binary string) {
+	t.Helper()
+	dir := t.TempDir()
 	overlay := make(map[string]string, len(files))
-	dir, err := os.MkdirTemp("", "removal")
-	if err != nil {
-		return "", err
-	}
-	defer os.RemoveAll(dir)
 	for name, text := range files {
-		replacement := filepath.Join(dir, fmt.Sprint(len(overlay), ".go"))
-		if err := os.WriteFile(replacement, []byte(text), 0o600); err != nil {
-			return "", err
+		overlay[name] = filepath.Join(dir, fmt.Sprint(len(overlay), ".go"))
+		if err := os.WriteFile(overlay[name], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
 		}
-		overlay[name] = replacement
 	}
 	b, err := json.Marshal(map[string]any{"Replace": overlay})
 	if err != nil {
-		return "", err
+		t.Fatal(err)
 	}
 	overlayFile := filepath.Join(dir, "overlay.json")
 	if err := os.WriteFile(overlayFile, b, 0o600); err != nil {
-		return "", err
+		t.Fatal(err)
 	}
+	binary = filepath.Join(dir, "tests")
 	cmd := exec.Command("go", "test", "-c", "-p", "2", "-overlay", overlayFile, "-o", binary, "./"+pkg)
 	cmd.Dir = repositoryRoot
-	out, err := cmd.CombinedOutput()
-	return string(out), err
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%s does not compile:\n%s", pkg, out)
+	}
+	return binary
 }
 
 // run runs the test in a binary of its package's tests.
-func (r removal) run(binary string) (output string, err error) {
+func (test removalTest) run(binary string) (output string, err error) {
 	var pattern []string
-	for part := range strings.SplitSeq(r.test, "/") {
+	for part := range strings.SplitSeq(test.name, "/") {
 		pattern = append(pattern, "^"+regexp.QuoteMeta(part)+"$")
 	}
 	cmd := exec.Command(binary, "-test.v", "-test.timeout", removalTimeout.String(), "-test.run", strings.Join(pattern, "/"))
-	cmd.Dir = filepath.Join(repositoryRoot, r.pkg)
+	cmd.Dir = filepath.Join(repositoryRoot, test.pkg)
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
