A search visits agents without an upstream, too

Cause: an agent whose last report said that no upstream runs was left out of searches, of the check that a search covers all agents, and of the check that all agents have reported recently. The report tells what held when it was sent: the next start may have accepted the flow since, while this entry missed the later reports.

Agents without an upstream are visited after the others now. One whose upstream has ended returns the packet at once, one whose new upstream runs offers it the packet, so that the search ends with an answer. An agent that is silent leaves a search without proof, unless the search has visited it and the packet came back.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -168,7 +168,7 @@
 	if d.sendStage(s, rec, f, f.Stage+1) {
 		return
 	}
-	if f.Uncertain || !d.settled(now) || !d.members.stagesCover(rec.stages, d.holderServices(h.Flow)) {
+	if f.Uncertain || !d.settled(now, rec.stages) || !d.members.stagesCover(rec.stages, d.holderServices(h.Flow)) {
 		rec.inconclusive = true
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
 		return
@@ -288,8 +288,8 @@
 
 // AgentsSettled reports whether the known state of the agents is complete enough to conclude
 // that there are no others.
-func (d *Director) AgentsSettled(now time.Duration) bool { return d.members.settled(now) }
+func (d *Director) AgentsSettled(now time.Duration) bool { return d.members.settled(now, nil) }
 
 // Settled reports whether the known state of services and agents is complete enough
 // to conclude from a search that no agent holds a flow.
-func (d *Director) Settled(now time.Duration) bool { return d.settled(now) }
+func (d *Director) Settled(now time.Duration) bool { return d.settled(now, nil) }
--- a/pkg/director/choice.go
+++ b/pkg/director/choice.go
@@ -9,6 +9,21 @@
 	"hickoryhook.example/pkg/rendezvous"
 )
 
+// The ranks of agents in a search, in the order in which it visits them.
+const (
+	reportedRank searchRank = iota
+	// emptyRank is that of agents without an upstream, see peer.Status.Empty.
+	emptyRank
+	// silentRank is that of agents that have announced a restart or have not reported for
+	// suspectAfter: a search that visits an agent while it is away ends there.
+	silentRank
+	silentEmptyRank
+	endOfRanks
+)
+
+// searchRank orders the agents that a search visits.
+type searchRank int
+
 // openingCandidates returns up to openingChoices agents to offer a new flow to, the
 // one with the lowest cost first, and the load of that agent and the age of its
 // report. It counts the flow as pending at that agent.
@@ -113,18 +128,17 @@
 // searchStages returns the stages of a search: the agents of each of the services,
 // which may hold the flow, and then, unless the list of these services is complete,
 // all other agents, which check their own flow tables without offering the packet to
-// their upstreams. The agents without recent reports follow in the same order, as the
-// packet may be lost at them.
+// their upstreams. The agents of each searchRank follow in the same order.
 func (m *members) searchStages(now time.Duration, services []peer.ServiceID, complete bool, hash uint64) []searchStage {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var stages []searchStage
-	for _, silent := range []bool{false, true} {
+	for rank := reportedRank; rank < endOfRanks; rank++ {
 		for _, service := range services {
-			stages = m.appendStages(stages, service, possibleOwners(now, m.byService[service], silent), hash)
+			stages = m.appendStages(stages, service, ofRank(now, m.byService[service], rank), hash)
 		}
 		if !complete {
-			stages = m.appendStages(stages, 0, possibleOwners(now, m.ofOtherServices(services), silent), hash)
+			stages = m.appendStages(stages, 0, ofRank(now, m.ofOtherServices(services), rank), hash)
 		}
 	}
 	return stages
@@ -141,22 +155,34 @@
 	return rest
 }
 
-// possibleOwners returns those of the agents that may hold flows: the ones that have
-// announced a restart or have not reported for suspectAfter if silent is true, else the
-// others. A search that visits an agent while it is away ends there.
-func possibleOwners(now time.Duration, agents []*agent, silent bool) []*agent {
+// searchRank returns the rank of an agent in searches. No agent is left out: an upstream that
+// did not run at the last report may have started since, and accepted the flow.
+func (a *agent) searchRank(now time.Duration) searchRank {
+	silent := a.leaving || now-a.reportedAt > suspectAfter
+	switch {
+	case silent && a.status.Empty:
+		return silentEmptyRank
+	case silent:
+		return silentRank
+	case a.status.Empty:
+		return emptyRank
+	}
+	return reportedRank
+}
+
+// ofRank returns those of the agents that have a rank.
+func ofRank(now time.Duration, agents []*agent, rank searchRank) []*agent {
 	var out []*agent
 	for _, a := range agents {
-		if !a.status.Empty && (a.leaving || now-a.reportedAt > suspectAfter) == silent {
+		if a.searchRank(now) == rank {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// stagesCover reports whether stages contain every known agent of the services, except
-// those that hold no flows, see peer.Status.Empty. They lack an agent that has been
-// added since they were planned.
+// stagesCover reports whether stages contain every known agent of the services. They lack an
+// agent that has been added since they were planned.
 func (m *members) stagesCover(stages []searchStage, services []peer.ServiceID) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -168,7 +194,7 @@
 	}
 	for _, service := range services {
 		for _, a := range m.byService[service] {
-			if !a.status.Empty && !covered[a.address] {
+			if !covered[a.address] {
 				return false
 			}
 		}
@@ -176,6 +202,11 @@
 	return true
 }
 
+// visits reports whether an agent is in one of the stages.
+func visits(stages []searchStage, agent peer.Addr) bool {
+	return slices.ContainsFunc(stages, func(s searchStage) bool { return slices.Contains(s.agents, agent) })
+}
+
 // appendStages appends the agents to the stages, in the rendezvous order of the
 // flow and with at most peer.MaxCandidates in each stage.
 func (m *members) appendStages(stages []searchStage, service peer.ServiceID, agents []*agent, hash uint64) []searchStage {
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -523,9 +523,10 @@
 }
 
 // settled reports whether the known state of services and agents is complete enough
-// to conclude from a search that no agent holds a flow.
-func (d *Director) settled(now time.Duration) bool {
-	return d.history.complete() && d.members.settled(now)
+// to conclude from a search that no agent holds a flow. All agents of the stages have
+// returned the packet.
+func (d *Director) settled(now time.Duration, returned []searchStage) bool {
+	return d.history.complete() && d.members.settled(now, returned)
 }
 
 // reset sends a reset to the caller of a flow and records the decision, to which it adds the
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -251,9 +251,9 @@
 // settled reports whether the known state of the agents is complete enough to
 // conclude that none of them holds a flow: this process has neither just started nor
 // just been paused or delayed, the list of registered agents is known, they have
-// reported, with the exceptions of registeredReported, and all known agents that may
-// hold flows have reported recently.
-func (m *members) settled(now time.Duration) bool {
+// reported, with the exceptions of registeredReported, and all known agents have reported
+// recently or are in the stages of a search that all agents have returned.
+func (m *members) settled(now time.Duration, returned []searchStage) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	if m.registered == nil || now < settleTime || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
@@ -263,22 +263,20 @@
 		return false
 	}
 	for _, a := range m.agents {
-		if !a.status.Empty && now-a.reportedAt > suspectAfter {
+		if now-a.reportedAt > suspectAfter && !visits(returned, a.address) {
 			return false
 		}
 	}
 	return true
 }
 
-// oldestReport returns the age of the oldest last report of a known agent that may hold flows.
+// oldestReport returns the age of the oldest last report of a known agent.
 func (m *members) oldestReport(now time.Duration) time.Duration {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	oldest := time.Duration(0)
 	for _, a := range m.agents {
-		if !a.status.Empty {
-			oldest = max(oldest, now-a.reportedAt)
-		}
+		oldest = max(oldest, now-a.reportedAt)
 	}
 	return oldest
 }
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -223,7 +223,7 @@
 // refuseOpening resets an opening for which the service has no agent, if it is certain
 // that there is none.
 func (d *Director) refuseOpening(now time.Duration, service peer.ServiceID, h segment.Header) {
-	if !d.members.settled(now) {
+	if !d.members.settled(now, nil) {
 		return // an agent that has not reported yet may accept the flow
 	}
 	event := NotAccepted
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -27,8 +27,8 @@
 		Heartbeat uint64 `cbor:"15,keyasint,omitempty"`
 		// Taking means that the upstream accepts new flows.
 		Taking bool `cbor:"6,keyasint,omitempty"`
-		// Empty means that no upstream runs beside the agent, so that it holds no
-		// flows.
+		// Empty means that no upstream runs beside the agent, so that it held no flows when
+		// it reported.
 		Empty bool `cbor:"12,keyasint,omitempty"`
 		// Failing means that the upstream resets too many of its flows.
 		Failing bool `cbor:"13,keyasint,omitempty"`
