The simulated platform does not start an agent that runs

The restarts that were due for the kill start the agents once more at 15.99 s, without having ended them: within 100 ms of the upstream's start, which is less than a process takes to be killed and to run again (agentRestartTime of pkg/relay), so that the agent believes to be the first of this start. The platform starts a process only if it does not run.

TestRunningAgentIsNotStartedAgain fails without the change (3 starts, want 2).

--- a/internal/fleetsim/export_test.go
+++ b/internal/fleetsim/export_test.go
@@ -9,3 +9,6 @@
 
 // ReturnStore ends the effect of LoseStore.
 func (w *World) ReturnStore() { w.restores.lost = nil }
+
+// AgentStarts returns how often the agent was started.
+func (i *Instance) AgentStarts() int { return i.generation }
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -186,13 +186,18 @@
 }
 
 // RestartAgent kills the agent, but not the upstream, and starts it again after
-// the time down. It does nothing once the instance is removed.
+// the time down, unless a return of the power has started it by then. It does nothing once the
+// instance is removed.
 func (i *Instance) RestartAgent(down time.Duration) {
 	if i.removed {
 		return
 	}
 	i.agentUp = false
-	i.world.After(down, i.startAgent)
+	i.world.After(down, func() {
+		if !i.agentUp {
+			i.startAgent()
+		}
+	})
 }
 
 // CrashUpstream kills the upstream. A new one, without flows, starts after the
