An entry asks the owner before it resets a flow

What callers saw: a reset of an open flow while its upstream served it, just after a pause of the upstream's agent.

Cause: an entry took the order in which heartbeats arrive for the order in which they were sent. A heartbeat of an ended start that waited while the agent was paused raised the number in the agent's report; the flow, which the next start had accepted meanwhile, was announced with the ended start and the lower number, and counted as one of it. The class is a reset that rests on what a process believes of another one.

Change: an entry keeps the last packet of each caller that an upstream takes for a retransmission (no opening, no end of the flow; one without data rather than one with data, at most 256 bytes). When the owner reports another start of its upstream, or none, the packet is sent to it once more. Only if the owner returns a packet of the flow, the flow is reset (proof returned-by-owner). The caller has acknowledged what an upstream beside this agent has sent, so whichever start returns the packet runs later than the one that held the flow, or is the one that held it. Numbers of heartbeats are no longer needed for that: flows of the last heartbeat interval are told at once, too. They are still needed for saved flows, of which the entry has no packet after its restart.

--- a/internal/explain/proof.go
+++ b/internal/explain/proof.go
@@ -157,6 +157,8 @@
 		return "the upstream's address refused a connection, " + l.lastHeartbeat()
 	case l.Message == endedMessage && l.Proof == "deregistered":
 		return "the upstream deregistered, " + l.lastHeartbeat()
+	case l.Proof == "returned-by-owner":
+		return fmt.Sprintf("agent %s returned a packet of it %.0f ms after it had reported %s, the flow was recorded with start %d%s", l.Agent, l.AgeMS, l.reported(), l.Start, recalled)
 	case l.Proof == "other-start":
 		return fmt.Sprintf("agent %s reported start %d, the flow was recorded with start %d%s, %.0f ms before", l.Agent, l.ReportedStart, l.Start, recalled, l.AgeMS)
 	case l.Proof == "no-upstream-runs":
@@ -172,6 +174,14 @@
 	}
 }
 
+// reported describes the upstream that an agent has reported.
+func (l Line) reported() string {
+	if l.ReportedStart == 0 {
+		return "that no upstream runs"
+	}
+	return fmt.Sprintf("start %d of its upstream", l.ReportedStart)
+}
+
 // lastHeartbeat describes the last heartbeat before the reset of a flow by an agent.
 func (l Line) lastHeartbeat() string {
 	if l.Start == 0 {
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -83,6 +83,7 @@
 	}
 	rec.announce(from, o)
 	rec.stages, rec.gone, rec.ownedAt, rec.restored = nil, nil, now, false
+	rec.question.asked = nil
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -110,7 +111,8 @@
 }
 
 // handleReturnedDelivery handles a packet that an agent returned because it does not
-// hold the flow, although it was recorded as the owner. It sends the packet to another
+// hold the flow, although it was recorded as the owner. It resets the flow if that proves that
+// the flow is gone, see isGone. It sends the packet to another
 // owner that has been recorded in the meantime. If there is none, it places an opening
 // again, or drops it if its VIP has no route or the caller has sent other packets of the flow;
 // for any other packet it starts a search.
@@ -125,6 +127,11 @@
 		d.startSearch(now, s, rec, h, f.Packet)
 		return
 	}
+	if rec != nil && rec.isGone(from, f, h) {
+		asked := rec.question.asked
+		d.markGone(now, s, h.Flow, rec, ReturnedByOwner, asked.reported, now-asked.at)
+		return
+	}
 	if rec != nil && !rec.searching && rec.owner != from {
 		d.deliver(s, rec, f.Packet) // another owner has been found in the meantime
 		return
@@ -184,13 +191,13 @@
 }
 
 // HandleReport records an agent's status unless it is outdated. If the agent is new or
-// its upstream may have restarted or ended, it resets the cached flows that are proven to be
-// of other starts than the upstream's last known one, see resetOtherStarts; if none is known and
-// no upstream runs, those of all starts. It reports whether the agent is new.
+// its upstream may have restarted or ended, it checks the cached flows that are not known to be
+// of the upstream's last known start, see checkOtherStarts; if no upstream runs, those of all
+// starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
-	isNew, restarted, before := d.members.update(now, from, status)
+	isNew, restarted := d.members.update(now, from, status)
 	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.resetOtherStarts(now, from, start, before)
+		d.checkOtherStarts(now, from, start)
 	}
 	if d.members.usable(now, from) {
 		d.deliverHeld(from, d.absences.end(from))
@@ -207,23 +214,28 @@
 	}
 }
 
-// resetOtherStarts resets the cached flows that belong to other known starts of the owner's
-// upstream than the given one, see markGone; 0 means that no upstream runs. before is the last
-// heartbeat that the owner had reported until then. The start of a flow becomes unknown if it is
-// not proven that the flow was open there, see flowRecord.endsWith.
-func (d *Director) resetOtherStarts(now time.Duration, owner peer.Addr, start uint32, before heardStart) {
+// checkOtherStarts asks the owner of flows whether its upstream holds those that it has not
+// announced with the given start of the upstream, see ask; 0 means that no upstream runs. A
+// restored flow that can't be asked about is reset if it was proven when it was saved. The
+// start of any other flow becomes unknown, and the caller's next packet decides.
+func (d *Director) checkOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
 	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
 			rec := s.flows[flow]
-			if rec.owner != owner || rec.startID == 0 || rec.startID == start {
-				continue
-			}
-			if !rec.endsWith(before) {
+			switch {
+			case rec.owner != owner || start != 0 && rec.startID == start:
+			case rec.mayAsk():
+				d.ask(now, s, flow, rec, start)
+			case rec.startID != 0 && rec.confirmed && rec.startProven:
+				proof := OtherStart
+				if start == 0 {
+					proof = NoUpstreamRuns
+				}
+				d.markGone(now, s, flow, rec, proof, start, now-max(rec.ownedAt, rec.created))
+			default:
 				rec.startID = 0
-				continue
 			}
-			d.markGone(now, s, flow, rec, start)
 		}
 	})
 }
@@ -246,6 +258,7 @@
 	idle = min(idle+idleSlack, d.lifetime)
 	d.eachShard(func(s *shard) {
 		d.repeatResets(now, s)
+		d.sendQuestions(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
 				d.forget(s, flow)
--- a/pkg/director/bucket.go
+++ b/pkg/director/bucket.go
@@ -5,23 +5,23 @@
 	"time"
 )
 
-// tokenBucket limits a rate to queriesPerSecond with bursts of queryBurst. The zero
-// value is a full bucket.
+// tokenBucket limits a rate and its bursts. The zero value is a full bucket.
 type tokenBucket struct {
 	mu      sync.Mutex
 	used    float64 // tokens that were taken and have not been refilled
 	updated time.Duration
 }
 
-// allow takes a token and reports whether there was one.
-func (b *tokenBucket) allow(now time.Duration) bool {
+// take takes n tokens of a bucket that holds burst of them and is refilled at the given rate a
+// second, and reports whether there were as many.
+func (b *tokenBucket) take(now time.Duration, n, rate, burst float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used = max(0, b.used-(now-b.updated).Seconds()*queriesPerSecond)
+	b.used = max(0, b.used-(now-b.updated).Seconds()*rate)
 	b.updated = now
-	if b.used+1 > queryBurst {
+	if b.used+n > burst {
 		return false
 	}
-	b.used++
+	b.used += n
 	return true
 }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -105,6 +105,9 @@
 	// UpstreamGone means that a flow was reset because the upstream that held it
 	// has restarted or ended.
 	UpstreamGone Event = "upstream-gone"
+	// OwnerAsked means that the owner of a flow was asked whether its upstream holds it, as it has
+	// reported another start of the upstream, or none.
+	OwnerAsked Event = "owner-asked"
 	// HeldDelivered means that packets were sent that had been held for an agent while it
 	// restarted, or until maxAbsence had passed.
 	HeldDelivered Event = "held-packets-delivered"
@@ -115,10 +118,15 @@
 
 // The proofs of resets.
 const (
-	// OtherStart means that the recorded owner has reported another start of its upstream
-	// than the one that accepted the flow.
+	// ReturnedByOwner means that the recorded owner, beside which the flow was open, has
+	// returned a packet of the flow, after it had reported another start of its upstream than
+	// the one that accepted the flow, or none.
+	ReturnedByOwner Proof = "returned-by-owner"
+	// OtherStart means that the owner in a restored record has reported another start of its
+	// upstream than the one that accepted the flow.
 	OtherStart Proof = "other-start"
-	// NoUpstreamRuns means that the recorded owner has reported that no upstream runs.
+	// NoUpstreamRuns means that the owner in a restored record has reported that no upstream
+	// runs.
 	NoUpstreamRuns Proof = "no-upstream-runs"
 	// CompleteSearch means that none of the agents that may hold the flow does.
 	CompleteSearch Proof = "complete-search"
@@ -194,19 +202,21 @@
 		Stage int
 		// Tried is the number of candidates on the list that was returned without
 		// one accepting the flow. For SearchedAll it is the number of agents queried, for
-		// HeldDelivered the number of packets, the first of which is of Flow.
+		// HeldDelivered the number of packets, the first of which is of Flow, and for
+		// OwnerAsked the number of the question.
 		Tried int
 		// Link is what LinkFull was based on.
 		Link capacity.Verdict
 		// Proof is what a reset rests on, empty for other decisions. Age is then the age of
-		// that: of the announcement or the restored record for OtherStart and NoUpstreamRuns,
+		// that: of the report that the owner was asked for, for ReturnedByOwner as for the event
+		// OwnerAsked, of the announcement or the restored record for OtherStart and NoUpstreamRuns,
 		// of the last verification of the configuration for NotRouted, and of the oldest
 		// report of an agent for the others.
 		Proof Proof
 		// Start is the start of the upstream that the flow was recorded with, and Reported
 		// the one that its agent has reported since, 0 if none runs. Both are set for
-		// OtherStart, NoUpstreamRuns, OwnerChanged and AnnouncementIgnored; Reported for
-		// OwnerFound, too.
+		// ReturnedByOwner, OtherStart, NoUpstreamRuns, OwnerAsked, OwnerChanged and
+		// AnnouncementIgnored; Reported for OwnerFound, too.
 		Start, Reported uint32
 		// Previous is the recorded owner, for OwnerChanged and AnnouncementIgnored.
 		Previous peer.Addr
@@ -232,7 +242,9 @@
 		history    history
 		absences   absences
 		queryLimit tokenBucket
-		shards     [shardCount]shard
+		// questionLimit limits the bytes of questions, see question.
+		questionLimit tokenBucket
+		shards        [shardCount]shard
 	}
 
 	// shard holds the flows of one part of the hash range, which share a lock.
@@ -242,6 +254,8 @@
 		buf   []byte // for encoding datagrams
 		// resets are the flows whose resets are sent again, see repeatResets.
 		resets []segment.Flow
+		// questions are the flows whose owners are asked, see sendQuestions.
+		questions []segment.Flow
 	}
 
 	// flowRecord is the cached state of a flow.
@@ -250,6 +264,7 @@
 		service      peer.ServiceID // of the owner, 0 if unknown
 		startID      uint32         // of the owner's upstream, 0 if unknown
 		evidence                    // of where the flow is open
+		question     question       // to the owner
 		open         bool           // the owner has reported that its upstream holds the flow
 		closed       bool           // the caller has sent Fin or Reset
 		searching    bool
@@ -496,7 +511,10 @@
 		rec.confirm(h.Acknowledged)
 	}
 	if h.Has(segment.Fin) || h.Has(segment.Reset) {
-		rec.closed = true
+		rec.closed, rec.question = true, question{}
+	}
+	if !rec.closed {
+		rec.question.keep(h, packet)
 	}
 	if !isNew && !rec.searching {
 		if !d.absences.hold(rec.owner, h, packet) {
--- a/pkg/director/evidence.go
+++ b/pkg/director/evidence.go
@@ -7,17 +7,17 @@
 	"hickoryhook.example/pkg/segment"
 )
 
-// A report that an agent's upstream has restarted or ended proves that a flow is gone only if
-// the flow was open at the start of the upstream that the report ends. An announcement alone
-// does not prove that: copies of an opening may be accepted by two upstreams, with one of which
-// the caller goes on, and an agent learns of a new start of its upstream some time after the new
-// start has begun to accept flows. Two observations prove it:
+// An announcement does not prove that a flow is open at the announced start of an upstream:
+// copies of an opening may be accepted by two upstreams, with one of which the caller goes on,
+// and an agent learns of a new start of its upstream some time after the new start has begun to
+// accept flows. Two observations prove it:
 //
 //   - The caller has acknowledged what the announced upstream has sent.
-//   - The announced start has sent a heartbeat after the flow was opened.
+//   - The announced start has sent a heartbeat after the flow was opened, see peer.Status.
 //
-// A flow without them keeps its owner. If that one does not hold it, it returns the next packet,
-// and a search decides.
+// The first is needed before the owner is asked, see question. Both are needed before a flow is
+// saved: the entry that restores it has no packet to ask with. Any other flow keeps its owner. If
+// that one does not hold it, it returns the next packet, and a search decides.
 
 const (
 	// confirmWindow is how far, in bytes, the caller's acknowledgement may lie from the
@@ -109,8 +109,8 @@
 }
 
 // endsWith reports whether it is proven that the flow was open at the recorded start of the
-// owner's upstream, so that it is gone if that one has ended. heard is the last heartbeat of the
-// start that the owner has reported last, before the end.
+// owner's upstream, so that it is gone if that one has ended. heard is the last heartbeat that the
+// owner has reported.
 func (r *flowRecord) endsWith(heard heardStart) bool {
 	if !r.confirmed || r.startID == 0 {
 		return false
--- a/pkg/director/gone.go
+++ b/pkg/director/gone.go
@@ -29,15 +29,12 @@
 
 // markGone records that the upstream that held a flow has restarted or ended, and resets the
 // flow, whose caller has acknowledged what that upstream has sent. reported is the start of the
-// upstream that its agent has reported, 0 if none runs.
-func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord, reported uint32) {
+// upstream that its agent has reported, 0 if none runs, age that of the proof.
+func (d *Director) markGone(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord, proof Proof, reported uint32, age time.Duration) {
 	why := Decision{
-		Event: UpstreamGone, Proof: OtherStart, Agent: rec.owner, Start: rec.startID, Reported: reported,
-		Restored: rec.restored, Age: now - max(rec.ownedAt, rec.created),
-	}
-	if reported == 0 {
-		why.Proof = NoUpstreamRuns
+		Event: UpstreamGone, Proof: proof, Agent: rec.owner, Start: rec.startID, Reported: reported, Restored: rec.restored, Age: age,
 	}
+	rec.question = question{}
 	rec.owner, rec.startID, rec.open, rec.searching, rec.lastSeen = peer.Addr{}, 0, false, false, now
 	rec.gone = &goneFlow{
 		why: why, acknowledged: rec.acknowledged,
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -117,12 +117,12 @@
 
 // update records an agent's report unless it is outdated. It reports whether the
 // agent is new, and whether its upstream may have restarted or ended since the
-// report before. It returns the last heartbeat that is known of the start before.
-func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool, before heardStart) {
+// report before.
+func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d, ok := m.departed[from]; ok && staleReport(status.Incarnation, d.incarnation, now-d.at) {
-		return false, false, heardStart{}
+		return false, false
 	}
 	a, ok := m.agents[from]
 	if !ok {
@@ -131,18 +131,13 @@
 	}
 	old := a.status
 	if ok && status.Incarnation != old.Incarnation && staleReport(status.Incarnation, old.Incarnation, now-a.reportedAt) {
-		return false, false, heardStart{}
+		return false, false
 	}
 	if ok && status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence {
-		return false, false, heardStart{}
+		return false, false
 	}
-	before = m.heard[from]
 	if status.Upstream != "" {
-		next := before.next(now, status)
-		if next.start == before.start {
-			before = next // the report that ends a start names its last heartbeat
-		}
-		m.heard[from] = next
+		m.heard[from] = m.heard[from].next(now, status)
 	}
 	// The agent knows no upstream, as after its own restart: the last known start is kept.
 	if status.Upstream == "" && old.Service == status.Service {
@@ -155,7 +150,7 @@
 		a.service = service
 		m.rebuildByService()
 	}
-	return !ok, restarted, before
+	return !ok, restarted
 }
 
 // staleReport reports whether a report of an incarnation is outdated: it is of
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -12,6 +12,7 @@
 func (d *Director) startSearch(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.lastSeen, rec.searching, rec.searchedAt = now, true, now
 	rec.owner, rec.startID, rec.open, rec.inconclusive = peer.Addr{}, 0, false, false
+	rec.question.asked = nil
 	if h.Has(segment.Ack) {
 		rec.confirm(h.Acknowledged)
 	}
@@ -74,7 +75,7 @@
 	rec.searchedAt = now
 	rec.stages = d.planSearch(now, h.Flow)
 	rec.round++
-	if d.queryLimit.allow(now) {
+	if d.queryLimit.take(now, 1, queriesPerSecond, queryBurst) {
 		tried := 0
 		s.buf = peer.OwnerMessage{Kind: peer.OwnerQuery, Flow: h.Flow, Acknowledged: rec.acknowledged}.Append(s.buf[:0])
 		for _, stage := range rec.stages {
