--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -117,12 +117,12 @@
 
 // update records an agent's report unless it is outdated. It reports whether the
 // agent is new, and whether its upstream may have restarted or ended since the
-// report before. It returns the last heartbeat that is known of the start before.
-func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool, before heardStart) {
+// report before.
+func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d, ok := m.departed[from]; ok && staleReport(status.Incarnation, d.incarnation, now-d.at) {
-		return false, false, heardStart{}
+		return false, false
 	}
 	a, ok := m.agents[from]
 	if !ok {
@@ -131,18 +131,13 @@
 	}
 	old := a.status
 	if ok && status.Incarnation != old.Incarnation && staleReport(status.Incarnation, old.Incarnation, now-a.reportedAt) {
-		return false, false, heardStart{}
+		return false, false
 	}
 	if ok && status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence {
-		return false, false, heardStart{}
+		return false, false
 	}
-	before = m.heard[from]
 	if status.Upstream != "" {
-		next := before.next(now, status)
-		if next.start == before.start {
-			before = next // the report that ends a start names its last heartbeat
-		}
-		m.heard[from] = next
+		m.heard[from] = m.heard[from].next(now, status)
 	}
 	// The agent knows no upstream, as after its own restart: the last known start is kept.
 	if status.Upstream == "" && old.Service == status.Service {
@@ -155,7 +150,7 @@
 		a.service = service
 		m.rebuildByService()
 	}
-	return !ok, restarted, before
+	return !ok, restarted
 }
 
 // staleReport reports whether a report of an incarnation is outdated: it is of
@@ -251,9 +246,9 @@
 // settled reports whether the known state of the agents is complete enough to
 // conclude that none of them holds a flow: this process has neither just started nor
 // just been paused or delayed, the list of registered agents is known, they have
-// reported, with the exceptions of registeredReported, and all known agents that may
-// hold flows have reported recently.
-func (m *members) settled(now time.Duration) bool {
+// reported, with the exceptions of registeredReported, and all known agents have reported
+// recently or are in the stages of a search that all agents have returned.
+func (m *members) settled(now time.Duration, returned []searchStage) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	if m.registered == nil || now < settleTime || now-m.pausedAt < suspectAfter && m.pausedAt > 0 {
@@ -263,22 +258,20 @@
 		return false
 	}
 	for _, a := range m.agents {
-		if !a.status.Empty && now-a.reportedAt > suspectAfter {
+		if now-a.reportedAt > suspectAfter && !visits(returned, a.address) {
 			return false
 		}
 	}
 	return true
 }
 
-// oldestReport returns the age of the oldest last report of a known agent that may hold flows.
+// oldestReport returns the age of the oldest last report of a known agent.
 func (m *members) oldestReport(now time.Duration) time.Duration {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	oldest := time.Duration(0)
 	for _, a := range m.agents {
-		if !a.status.Empty {
-			oldest = max(oldest, now-a.reportedAt)
-		}
+		oldest = max(oldest, now-a.reportedAt)
 	}
 	return oldest
 }
