A soak names the pauses of its own process

A sample that is more than 0.5 s late is now listed as a pause of the soak among the faults, in the report and before a failed flow. The check of lost requests is as it was. TestPauseOfTheSoakIsNamed covers it.

--- a/internal/fleetdemo/timeline.go
+++ b/internal/fleetdemo/timeline.go
@@ -12,8 +12,13 @@
 	"github.com/go-faster/errors"
 )
 
-// sampleInterval is the time between the samples of a report.
-const sampleInterval = 500 * time.Millisecond
+const (
+	// sampleInterval is the time between the samples of a report.
+	sampleInterval = 500 * time.Millisecond
+	// maxSampleDelay is the delay of a sample from which the report names a pause of the run
+	// itself, with its upstreams and callers: the machine is overloaded or was suspended.
+	maxSampleDelay = 500 * time.Millisecond
+)
 
 // The size of a plot in pixels.
 const (
@@ -89,9 +94,17 @@
 	return out
 }
 
+// recordDelay records a pause of this process if a sample is later than maxSampleDelay.
+func (t *timeline) recordDelay(d time.Duration) {
+	if d > maxSampleDelay {
+		t.addFault(fmt.Sprintf("the soak itself was paused, for up to %s", d))
+	}
+}
+
 // recordSamples adds a sample every sampleInterval until the context ends.
 func (t *timeline) recordSamples(ctx context.Context, c *callers, upstreams []*upstream) {
-	for sleep(ctx, sampleInterval) == nil {
+	for last := time.Now(); sleep(ctx, sampleInterval) == nil; last = time.Now() {
+		t.recordDelay(time.Since(last) - sampleInterval)
 		s := sample{counts: c.report()}
 		for _, u := range upstreams {
 			s.flows = append(s.flows, u.flowCount())
--- a/internal/fleetdemo/timeline_test.go
+++ b/internal/fleetdemo/timeline_test.go
@@ -42,3 +42,14 @@
 	}
 	is.True((&timeline{}).writeReport(io.Discard, "", Report{}, nil) != nil)
 }
+
+// TestPauseOfTheSoakIsNamed guards against a failed run whose processes got no processor for a
+// time: its output must not look as if nothing had happened before.
+func TestPauseOfTheSoakIsNamed(t *testing.T) {
+	is := is.New(t)
+	line := timeline{begin: time.Now()}
+	line.recordDelay(maxSampleDelay)
+	is.Equal(len(line.faults()), 0)
+	line.recordDelay(1250 * time.Millisecond)
+	is.Equal(line.faults()[0].fault, "the soak itself was paused, for up to 1.25s")
+}
