--- a/pkg/director/question.go
+++ b/pkg/director/question.go
@@ -77,7 +77,7 @@
 
 // mayAsk reports whether the owner's answer to a question would prove that the flow is gone.
 func (r *flowRecord) mayAsk() bool {
-	return r.confirmed && !r.closed && len(r.question.packet) > 0 && near(r.question.acknowledged, r.acknowledged, confirmWindow)
+	return r.confirmed && len(r.question.packet) > 0 && near(r.question.acknowledged, r.acknowledged, confirmWindow)
 }
 
 // ask asks the owner of a flow whether its upstream, of which it has reported the given start,
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -255,6 +256,15 @@
 			name: "long before a packet that is too long",
 			sent: []segment.Header{acknowledgement(upstreamSequence), request(upstreamSequence+100_000, longest+1)},
 		},
+		{
+			name: "without data, twice", sent: []segment.Header{acknowledgement(upstreamSequence), acknowledgement(upstreamSequence + 9)},
+			asked: []segment.Header{acknowledgement(upstreamSequence + 9)},
+		},
+		{
+			name: "with data, twice", sent: []segment.Header{request(upstreamSequence, 50), request(upstreamSequence+9, 60)},
+			asked: []segment.Header{request(upstreamSequence+9, 60)},
+		},
+		{name: "accepts an opening", sent: []segment.Header{{Flags: segment.Open | segment.Ack, Acknowledged: upstreamSequence}}},
 		{name: "open at another upstream", sent: []segment.Header{acknowledgement(farSequence)}},
 		{name: "closed", sent: []segment.Header{acknowledgement(upstreamSequence), {Flags: segment.Ack | segment.Fin, Acknowledged: upstreamSequence}}},
 		{
@@ -272,6 +282,30 @@
 	}
 }
 
+// TestForgottenFlowIsNotAskedForAgain covers a flow whose idle timeout ends while its owner is asked.
+func TestForgottenFlowIsNotAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t, acknowledgement(upstreamSequence))
+	s.restarted(17950*time.Millisecond, 6)
+	is.Equal(len(s.asked(t)), 1)
+	s.Tick(18100*time.Millisecond, 100*time.Millisecond)
+	is.Equal(s.Flows(), 0)
+	s.Tick(18200*time.Millisecond, 100*time.Millisecond)
+	is.Equal(len(s.asked(t)), 0)
+}
+
+// TestRequestWithLowNumberIsKept covers an upstream whose numbers begin near 0, that of a flow
+// without a question.
+func TestRequestWithLowNumberIsKept(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t)
+	is.NoErr(s.HandleAgentDatagram(time.Second, s.owner, proven(s.flow, peer.StartID("u", 5), 9)))
+	s.caller(t, time.Second, request(9, 50))
+	s.port.frames = nil
+	s.restarted(2*time.Second, 6)
+	is.Equal(s.asked(t), []segment.Header{request(9, 50)})
+}
+
 // TestFlowOfUnknownStartIsAskedFor covers a flow that was announced before its agent knew a start
 // of the upstream, which ends.
 func TestFlowOfUnknownStartIsAskedFor(t *testing.T) {
@@ -344,6 +378,54 @@
 	is.Equal(last, 2*flows)
 }
 
+// TestMemoryOfQuestions guards the memory of entries: a flow keeps no more than an acknowledgement
+// once there is one, and maxQuestionBytes before.
+func TestMemoryOfQuestions(t *testing.T) {
+	const flows = 20_000
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	perFlow := func(sent ...segment.Header) float64 {
+		before := heap()
+		d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, discardPort{})
+		d.SetConfig(manyConfig(1, time.Second, sameService))
+		for n := range flows {
+			for _, h := range sent {
+				h.Flow = segment.NewFlow(netip.AddrPortFrom(vipAt(1).Addr(), uint16(1+n)), vipAt(2))
+				is.New(t).NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(h, false)))
+			}
+		}
+		used := heap() - before
+		runtime.KeepAlive(d)
+		return used / flows
+	}
+	none := perFlow(segment.Header{Acknowledged: 9})
+	for _, c := range []struct {
+		name string
+		sent []segment.Header
+		most float64
+	}{
+		{"without data", []segment.Header{acknowledgement(9)}, 40},
+		{"without data after data", []segment.Header{request(9, 200), acknowledgement(9)}, 40},
+		{"with data", []segment.Header{request(9, 224)}, 264},
+		{"too long", []segment.Header{request(9, 1200)}, 8},
+	} {
+		used := perFlow(c.sent...) - none
+		t.Logf("%s: %.0f bytes a flow, beside %.0f for the flow", c.name, used, none)
+		if used > c.most {
+			t.Errorf("%s: %.0f bytes a flow, at most %.0f", c.name, used, c.most)
+		}
+	}
+}
+
+// discardPort sends nothing.
+type discardPort struct{ recordingPort }
+
+func (discardPort) ToProcess(peer.Addr, []byte) {}
+
 // TestPacketsOfOpenFlowsAllocateNothingForQuestions guards the packet path and the memory of flows:
 // a flow keeps one packet, in the same place.
 func TestPacketsOfOpenFlowsAllocateNothingForQuestions(t *testing.T) {
