Questions: conditions that no case needs are gone

A record of a start that is unknown is not proven, so that checkOtherStarts need not look; a report of another agent decides nothing (TestReportOfOtherAgentDecidesNothing).

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -216,8 +216,8 @@
 
 // checkOtherStarts asks the owner of flows whether its upstream holds those that it has not
 // announced with the given start of the upstream, see ask; 0 means that no upstream runs. A
-// restored flow that can't be asked about is reset if it was proven when it was saved. The
-// start of any other flow becomes unknown, and the caller's next packet decides.
+// restored flow that can't be asked about is reset if it was proven when it was saved. For any
+// other flow, the caller's next packet decides.
 func (d *Director) checkOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
 	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
@@ -227,14 +227,12 @@
 			case rec.owner != owner || start != 0 && rec.startID == start:
 			case rec.mayAsk():
 				d.ask(now, s, flow, rec, start)
-			case rec.startID != 0 && rec.confirmed && rec.startProven:
+			case rec.startProven:
 				proof := OtherStart
 				if start == 0 {
 					proof = NoUpstreamRuns
 				}
 				d.markGone(now, s, flow, rec, proof, start, now-max(rec.ownedAt, rec.created))
-			default:
-				rec.startID = 0
 			}
 		}
 	})
--- a/pkg/director/question.go
+++ b/pkg/director/question.go
@@ -111,7 +111,7 @@
 func (d *Director) sendQuestions(now time.Duration, s *shard) {
 	s.questions = slices.DeleteFunc(s.questions, func(flow segment.Flow) bool {
 		rec := s.flows[flow]
-		if rec == nil || rec.question.asked == nil || rec.lastSeen > rec.question.asked.at || !rec.mayAsk() {
+		if rec == nil || rec.question.asked == nil || rec.lastSeen > rec.question.asked.at {
 			return true
 		}
 		if now >= rec.question.asked.due {
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -282,6 +282,31 @@
 	}
 }
 
+// TestReportOfOtherAgentDecidesNothing guards against the reset of a restored flow, and questions
+// about others, when the upstream of another agent restarts.
+func TestReportOfOtherAgentDecidesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t, acknowledgement(upstreamSequence))
+	restored := segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{{Flow: restored, Owner: s.owner, Start: peer.StartID("u", 5), Acknowledged: 9, Proven: true}})
+	s.reportStart(2*time.Second, s.place.Candidates[1], 2, 6, 1)
+	is.Equal(len(s.asked(t)), 0)
+	is.Equal(s.port.resets, 0)
+	s.restarted(2*time.Second, 6)
+	is.Equal(len(s.asked(t)), 1)
+	is.Equal(s.port.resets, 1)
+}
+
+// TestRestoredFlowOfUnknownStartIsNotReset covers a saved record without a start of the upstream.
+func TestRestoredFlowOfUnknownStartIsNotReset(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t)
+	flow := segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{{Flow: flow, Owner: s.owner, Acknowledged: 9, Proven: true}})
+	s.restarted(2*time.Second, 6)
+	is.Equal(s.port.resets, 0)
+}
+
 // TestForgottenFlowIsNotAskedForAgain covers a flow whose idle timeout ends while its owner is asked.
 func TestForgottenFlowIsNotAskedForAgain(t *testing.T) {
 	is := is.New(t)
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -153,7 +153,7 @@
 	if rec := s.flows[r.Flow]; rec != nil && (!rec.restored || rec.searching || rec.lastSeen > rec.created) {
 		return
 	}
-	proven := r.Proven && r.Acknowledged != 0
+	proven := r.Proven && r.Acknowledged != 0 && r.Start != 0
 	s.flows[r.Flow] = &flowRecord{
 		owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
 		restored: true, evidence: evidence{confirmed: proven, startProven: proven},
