The result of a forgotten search proves nothing

What callers may see: a reset (found-nobody) of a flow that an agent holds. Cause: the number of a search began at 1 for each record of a flow, so that a packet of a search that was forgotten, and that a paused agent returns late, counted as the result of the present one, which visits more agents. Change: searches of an entry are numbered across flows, and a result must name the agents of a stage of the present search. TestResultOfForgottenSearchResetsNothing failed before.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -169,7 +169,7 @@
 		}
 		return
 	}
-	if f.Round != rec.round {
+	if !rec.isOf(f) {
 		return // result of an earlier search
 	}
 	if d.sendStage(s, rec, f, f.Stage+1) {
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -242,6 +242,7 @@
 		history    history
 		absences   absences
 		queryLimit tokenBucket
+		searches   atomic.Uint32 // number of searches
 		// questionLimit limits the bytes of questions, see question.
 		questionLimit tokenBucket
 		shards        [shardCount]shard
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
@@ -17,7 +18,7 @@
 		rec.confirm(h.Acknowledged)
 	}
 	rec.stages = d.planSearch(now, h.Flow)
-	rec.round++
+	rec.round = d.nextRound()
 	d.port.RecordDecision(Decision{Event: Searched, Flow: h.Flow})
 	d.sendFirstStage(s, rec, h, packet)
 }
@@ -74,7 +75,7 @@
 func (d *Director) queryAll(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.searchedAt = now
 	rec.stages = d.planSearch(now, h.Flow)
-	rec.round++
+	rec.round = d.nextRound()
 	if d.queryLimit.take(now, 1, queriesPerSecond, queryBurst) {
 		tried := 0
 		s.buf = peer.OwnerMessage{Kind: peer.OwnerQuery, Flow: h.Flow, Acknowledged: rec.acknowledged}.Append(s.buf[:0])
@@ -88,3 +89,14 @@
 	}
 	d.sendFirstStage(s, rec, h, packet)
 }
+
+// nextRound returns the number of a search. Numbers differ between the searches of a flow also if
+// its record was forgotten in between.
+func (d *Director) nextRound() uint8 { return uint8(d.searches.Add(1)) }
+
+// isOf reports whether a returned frame is of the present search of a flow: it has visited the
+// agents of one of its stages. The number alone recurs after 256 searches of the entry, and after
+// its restart.
+func (r *flowRecord) isOf(f *peer.Frame) bool {
+	return f.Round == r.round && f.Stage < len(r.stages) && slices.Equal(f.Candidates, r.stages[f.Stage].agents)
+}
