Entries log pauses of their process

An entry now logs a pause of more than 0.5 s when it goes on, as agents do. TestPauseOfEntryIsLogged covers it.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -22,6 +22,9 @@
 	// maxDecisionFields is the largest number of fields in the log line of a
 	// decision.
 	maxDecisionFields = 9
+	// minLoggedPause is the time between two ticks from which the entry logs that it was paused,
+	// as by a suspended or overloaded machine.
+	minLoggedPause = 500 * time.Millisecond
 )
 
 // Entry is a balancer process.
@@ -296,12 +299,22 @@
 func (e *Entry) tick() {
 	now := e.now()
 	since := now - e.lastTick
+	if e.lastTick > 0 {
+		e.logPause(since)
+	}
 	e.lastTick = now
 	e.director.Tick(now, since)
 	e.checkLink(now)
 	e.checkOverload(now)
 }
 
+// logPause logs a pause of this process, if the time since the last tick shows one.
+func (e *Entry) logPause(since time.Duration) {
+	if since > minLoggedPause {
+		e.log.Info("entry was paused", zap.Duration("gap-ms", since))
+	}
+}
+
 // needsFastStart reports whether the entry is not ready, or was started less than
 // a quarter of fastStartPeriod ago.
 func (e *Entry) needsFastStart() bool { return !e.ready() || e.now() < fastStartPeriod/4 }
--- a/internal/fleet/pause_log_test.go
+++ b/internal/fleet/pause_log_test.go
@@ -69,3 +69,17 @@
 		"upstream": "u-2", "sequence": uint64(2), "start": peer.StartID("u-2", 0), "present": "u-2", "present-sequence": uint64(3),
 	})
 }
+
+// TestPauseOfEntryIsLogged guards against requests that are lost while an entry gets no processor:
+// its log must not look as if no packet had come.
+func TestPauseOfEntryIsLogged(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	e := &Entry{process: &process{log: zap.New(core)}}
+	e.logPause(minLoggedPause)
+	is.Equal(lines.Len(), 0)
+	e.logPause(3400 * time.Millisecond)
+	is.Equal(lines.Len(), 1)
+	is.Equal(lines.All()[0].Message, "entry was paused")
+	is.Equal(lines.All()[0].ContextMap(), map[string]any{"gap-ms": 3400 * time.Millisecond})
+}
