A search proves nothing until a later call to the store confirms it

Callers could see a reset (found-nobody) of an open flow that another entry had placed under a version of the configuration which this entry had not heard of.

Cause: a search covers the services of the configuration in force. That it was the newest one was taken from the last verification, up to 2 s old, or from a hello message, whose time under way is only assumed.

The opening of a flow precedes its other packets, so that a call to the store which the entry begins after the packet has arrived names every version under which the flow can have been placed. The reset waits for that in a bounded list, 2 s at most; then it is left out, and the next packet starts another search. Further packets of the flow are dropped while it waits. The call is a watch of the changes since the last known revision, which carries only what has changed, and serves all resets that wait: an entry makes it at once, and again after 0.3 s while others wait, 1 s after a failure. A hello message keeps an entry from reading each second, as before, but no reset rests on it any more. If the store does not answer this entry, its callers get silence.

TestResetForEarlierFlowNamesItsNumbers records a verification, without which its reset waits; it checks the same.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -79,11 +79,12 @@
 // pendingCauses maps the messages of decisions that another decision must
 // complete to the causes that apply if none does.
 var pendingCauses = map[string]Cause{
-	"searched":               SearchUnanswered,
-	"searched-all":           SearchUnanswered,
-	"found-nobody-uncertain": SearchUncertain,
-	"placed":                 OpeningUnanswered,
-	"placed-again":           OpeningUnanswered,
+	"searched":                SearchUnanswered,
+	"searched-all":            SearchUnanswered,
+	"found-nobody-uncertain":  SearchUncertain,
+	"found-nobody-unverified": SearchUncertain,
+	"placed":                  OpeningUnanswered,
+	"placed-again":            OpeningUnanswered,
 }
 
 // The messages of decisions that complete a pending one.
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
@@ -53,6 +55,16 @@
 	// have come back from an older copy.
 	peerAnswerTime = 300 * time.Millisecond
 
+	// confirmInterval is the least time between two calls to the store for resets that wait:
+	// each serves all that began to wait before it. It is a third of what a caller takes to
+	// send a packet for the second time after the first repetition.
+	confirmInterval = 300 * time.Millisecond
+	// confirmRetryDelay is the pause after such a call that has failed.
+	confirmRetryDelay = time.Second
+	// confirmWait is the wait of a watch for changes that the store has already: the least
+	// that a call can name.
+	confirmWait = time.Millisecond
+
 	configPath            = "/configuration"
 	versionHeader         = "Config-Version"
 	previousVersionHeader = "Config-Previous-Version"
@@ -75,6 +87,7 @@
 	unverifiedAt   atomic.Int64      // now() when the last verification became void; 0 at the start
 	newerFrom      chan peer.Addr    // entry from which to fetch a newer configuration
 	holdersPending chan struct{}     // not empty while the flow holders must be written
+	confirmWanted  chan struct{}     // not empty while resets wait for a verification of the configuration
 	onChange       func()            // announces a new configuration to the other entries
 	// onEvacuation announces that the evacuation of failure domains has begun or ended.
 	onEvacuation func(domains []string)
@@ -86,7 +99,7 @@
 	return &configSync{
 		process: p, director: d, onChange: onChange, onEvacuation: onEvacuation, client: &http.Client{Timeout: storeTimeout},
 		evacuations:    newEvacuations(p, d.SetEvacuated, func(string) bool { return true }),
-		holdersPending: make(chan struct{}, 1), newerFrom: make(chan peer.Addr, 1),
+		holdersPending: make(chan struct{}, 1), newerFrom: make(chan peer.Addr, 1), confirmWanted: make(chan struct{}, 1),
 	}
 }
 
@@ -225,6 +238,71 @@
 	return nil
 }
 
+// requestConfirmation requests a verification of the configuration for a reset that waits.
+func (c *configSync) requestConfirmation() {
+	select {
+	case c.confirmWanted <- struct{}{}:
+	default: // one is pending, and begins after this call
+	}
+}
+
+// confirmLoop verifies the configuration on request until the context ends.
+func (c *configSync) confirmLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.confirmWanted:
+		}
+		sleep(ctx, c.confirmForResets(ctx))
+	}
+}
+
+// confirmForResets verifies the configuration if resets wait for that, sends those that it proves,
+// and requests another verification if others wait. It returns the time until then.
+func (c *configSync) confirmForResets(ctx context.Context) time.Duration {
+	if !c.director.AwaitsVerification() {
+		return 0
+	}
+	pause := confirmInterval
+	if err := c.confirm(ctx); err != nil && ctx.Err() == nil {
+		c.metrics.increment("store-errors")
+		pause = confirmRetryDelay
+	}
+	c.director.ResetVerified(c.now())
+	if c.director.AwaitsVerification() {
+		c.requestConfirmation()
+	}
+	return pause
+}
+
+// confirm verifies the configuration in force by the changes since the revision from which the
+// watch continues, which cost less than the whole. It applies them. If that revision is not known,
+// the store does not have the changes any more or they request an evacuation, it reads all.
+func (c *configSync) confirm(ctx context.Context) error {
+	after, version := c.watchedUntil()
+	if after == (platform.Revision{}) || version == 0 {
+		return c.read(ctx)
+	}
+	begin := c.now()
+	c.metrics.increment("store-watches")
+	events, err := c.store.Watch(ctx, platform.OperatorPrefix, after, confirmWait)
+	if errors.Is(err, platform.ErrCompacted) || err == nil && slices.ContainsFunc(events.Events, requestsEvacuation) {
+		return c.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if version, err = c.applyEvents(events.Events, version); err != nil {
+		return err
+	}
+	c.advance(after, events.AsOf, version)
+	if begin >= peerAnswerTime && !c.isOutdated(version) && c.director.Config().Version() == version {
+		c.director.MarkVerified(begin)
+	}
+	return nil
+}
+
 // handleHello processes the evacuated failure domains and the configuration version in the
 // hello message of another entry. The same version verifies the configuration in force if the
 // sender has verified its own; a newer one is fetched from the sender, once the evacuated
@@ -243,7 +321,7 @@
 	// A verification in an ended era says nothing about the present one.
 	sameEra := hello.StoreEra >= c.store.Era()
 	if config != nil && config.Version() == hello.ConfigVersion && hello.VerifiedAgo >= 0 && hello.VerifiedAgo <= maxVerifiedAgo && sameEra {
-		c.director.MarkVerified(c.now() - time.Duration(hello.VerifiedAgo)*time.Millisecond - maxHelloLatency)
+		c.director.MarkVerifiedElsewhere(c.now() - time.Duration(hello.VerifiedAgo)*time.Millisecond - maxHelloLatency)
 	}
 	if !c.evacuations.known() || hello.ConfigVersion == 0 || config != nil && config.Version() >= hello.ConfigVersion {
 		return
--- /dev/null
+++ b/internal/fleet/confirm_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryhook.example/internal/kvstandin"
+	"hickoryhook.example/pkg/director"
+	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/segment"
+	"hickoryhook.example/platform"
+)
+
+var confirmedAgent = peer.Addr{10, 0, 0, 9}
+
+// confirmSite is a configSync whose configuration, version 7, has one route, and its store.
+type confirmSite struct {
+	*configSync
+	t     *testing.T
+	store *kvstandin.Store
+	port  *countingPort
+	flow  segment.Flow
+}
+
+func newConfirmSite(t *testing.T) *confirmSite {
+	t.Helper()
+	is := is.New(t)
+	s := &confirmSite{t: t, store: kvstandin.New(), port: &countingPort{}}
+	s.store.Set(platform.ConfigKey, []byte(`{"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"maklerlink"}]}`))
+	s.configSync, _ = newTestConfigSync(t, s.store, s.port)
+	s.started = time.Now().Add(-time.Minute)
+	is.NoErr(s.read(context.Background()))
+	s.flow = segment.NewFlow(netip.MustParseAddrPort("100.64.0.7:1001"), netip.MustParseAddrPort("198.18.0.1:443"))
+	s.director.MergeHolders(nil, 7)
+	s.director.SetRegistered(0, []peer.Addr{confirmedAgent})
+	s.director.HandleReport(s.now(), confirmedAgent, peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Slots: 2})
+	return s
+}
+
+// awaits reports whether the reset of a flow without an owner waits.
+func (s *confirmSite) awaits() bool {
+	return s.director.AwaitsVerification()
+}
+
+// findNobody passes a packet of an open flow, which the only agent returns.
+func (s *confirmSite) findNobody() {
+	s.t.Helper()
+	is := is.New(s.t)
+	packet := platform.EncodePacket(segment.Header{Flow: s.flow, Flags: segment.Ack, Acknowledged: 900001}, false)
+	is.NoErr(s.director.HandleCallerPacket(s.now(), packet))
+	f := peer.Frame{
+		Kind: peer.Returned, OriginalKind: peer.Search, Service: peer.Service("maklerlink"), Candidates: []peer.Addr{confirmedAgent},
+		Hop: 1, Round: 1, Packet: packet,
+	}
+	is.NoErr(s.director.HandleAgentDatagram(s.now(), confirmedAgent, f.Append(nil)))
+	is.True(s.awaits())
+}
+
+// TestHelloMessageProvesNoReset guards against the reset of a living flow that rests on the word
+// of another entry: its message may have been under way since before the flow was opened.
+func TestHelloMessageProvesNoReset(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	s.findNobody()
+	time.Sleep(2 * maxHelloLatency)
+	s.handleHello(peer.Addr{10, 0, 0, 3}, peer.HelloMessage{ConfigVersion: 7, StoreEra: s.configSync.store.Era()})
+	s.director.ResetVerified(s.now())
+	is.Equal(s.port.resets, 0)
+	is.NoErr(s.read(context.Background()))
+	s.director.ResetVerified(s.now())
+	is.Equal(s.port.resets, 1)
+}
+
+// TestConfirmationReadsChanges covers the call to the store for resets that wait: it carries only
+// what has changed, and puts that in force before the resets are sent.
+func TestConfirmationReadsChanges(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	s.findNobody()
+	reads := s.store.Calls()["kv-range"]
+	is.NoErr(s.confirm(context.Background()))
+	s.director.ResetVerified(s.now())
+	is.Equal(s.port.resets, 1)
+	s.findNobody()
+	s.store.Set(platform.ConfigKey, []byte(`{"version":9,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"exposeserver"}]}`))
+	s.director.HandleReport(s.now(), peer.Addr{10, 0, 0, 8}, peer.Status{Incarnation: 1, Sequence: 1, Service: "exposeserver", Upstream: "v", Slots: 2})
+	is.NoErr(s.confirm(context.Background()))
+	is.Equal(s.director.Config().Version(), uint64(9))
+	s.director.ResetVerified(s.now())
+	is.Equal(s.port.resets, 1) // the flow may be at the service that the new version names
+	is.True(!s.awaits())
+	is.Equal(s.store.Calls()["kv-range"], reads)
+	s.store.Compact()
+	s.store.Set("op/evacuate/graz-nord", []byte("{}"))
+	s.findNobodyAgain()
+	is.NoErr(s.confirm(context.Background())) // all is read, with the evacuation
+	is.Equal(s.evacuations.message().Domains, []string{"graz-nord"})
+}
+
+// TestOlderConfigurationConfirmsNothing covers a store that has come back from an older copy while
+// another entry has sent a newer configuration: what the store has verifies nothing.
+func TestOlderConfigurationConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	is.NoErr(s.apply([]byte(`{"version":11,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"maklerlink"}]}`), "10.0.0.3", 7))
+	s.findNobody()
+	is.NoErr(s.confirm(context.Background()))
+	s.director.ResetVerified(s.now())
+	is.Equal(s.port.resets, 0)
+}
+
+// findNobodyAgain passes the next packet of the flow.
+func (s *confirmSite) findNobodyAgain() {
+	packet := platform.EncodePacket(segment.Header{Flow: s.flow, Flags: segment.Ack, Acknowledged: 900001}, false)
+	is.New(s.t).NoErr(s.director.HandleCallerPacket(s.now(), packet))
+}
+
+// TestStoreThatDoesNotAnswerProvesNothing guards against a reset whose verification has failed, a
+// reset that waits without another attempt, and calls for requests that nothing waits for.
+func TestStoreThatDoesNotAnswerProvesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	ctx := context.Background()
+	is.Equal(s.confirmForResets(ctx), time.Duration(0))
+	is.Equal(s.store.Calls()["kv-watch"], 0)
+	s.findNobody()
+	s.store.SetFault(kvstandin.Busy)
+	is.Equal(s.confirmForResets(ctx), confirmRetryDelay)
+	is.Equal(s.port.resets, 0)
+	is.Equal(len(s.confirmWanted), 1)
+	<-s.confirmWanted
+	s.store.SetFault(kvstandin.Healthy)
+	is.Equal(s.confirmForResets(ctx), confirmInterval)
+	is.Equal(s.port.resets, 1)
+	is.Equal(len(s.confirmWanted), 0)
+}
+
+// TestWaitingResetRequestsConfirmation covers an entry whose search finds no owner, and which has
+// verified the configuration shortly before: it must not wait for the next periodic read.
+func TestWaitingResetRequestsConfirmation(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	e := &Entry{process: s.process, config: s.configSync}
+	e.RecordDecision(director.Decision{Event: director.OwnerUnverified})
+	is.Equal(len(s.confirmWanted), 1)
+}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -99,6 +99,7 @@
 		{"watch configuration", e.config.watch},
 		{"fetch configuration", e.config.fetchLoop},
 		{"verify configuration", e.config.verifyLoop},
+		{"confirm configuration", e.config.confirmLoop},
 		{"write holders", e.config.writeHolders},
 		{"save flows", e.saveFlows},
 		{"collect flows", e.flowCollector.run},
@@ -191,9 +192,12 @@
 }
 
 // RecordDecision implements director.Port. It counts a decision and logs it
-// with the fields that apply to it.
+// with the fields that apply to it. It requests what the decision waits for.
 func (e *Entry) RecordDecision(d director.Decision) {
 	e.metrics.increment(string(d.Event))
+	if d.Event == director.OwnerUnverified {
+		e.config.requestConfirmation()
+	}
 	fields := make([]zap.Field, 0, maxDecisionFields)
 	fields = append(fields, zap.Stringer("flow", d.Flow))
 	if d.Agent != (peer.Addr{}) {
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -31,6 +31,7 @@
 	evacuation      *evacuation.Tracker
 	runningSince    time.Duration // since the last start or pause
 	uninformedUntil time.Duration
+	confirming      bool                // a read for the resets that wait is under way
 	introduced      map[peer.Addr]int64 // incarnations of the agents that have had a hello message
 }
 
@@ -49,7 +50,7 @@
 	w := e.world
 	e.generation++
 	generation := e.generation
-	e.alive, e.stopping = true, false
+	e.alive, e.stopping, e.confirming = true, false, false
 	e.resets = make(map[segment.Flow]bool)
 	e.lastTick, e.startedAt, e.runningSince = w.now(), w.now(), w.now()
 	e.introduced = make(map[peer.Addr]int64)
@@ -124,6 +125,36 @@
 	}
 }
 
+// confirm reads the configuration for the resets that wait for its verification, as long as there
+// are any.
+func (e *Entry) confirm() {
+	if e.confirming {
+		return
+	}
+	e.confirming = true
+	w, generation, begin := e.world, e.generation, e.world.now()
+	w.After(storeDelay, func() {
+		if !e.up() || e.generation != generation {
+			e.confirming = false
+			return
+		}
+		w.count("confirmations")
+		stored := w.readStore()
+		e.readEvacuation(stored.evacuation)
+		e.director.SetConfig(stored.config)
+		if stored.config.Version() == e.director.Config().Version() {
+			e.director.MarkVerified(begin)
+		}
+		e.director.ResetVerified(w.now())
+		w.After(confirmInterval, func() {
+			e.confirming = false
+			if e.up() && e.generation == generation && e.director.AwaitsVerification() {
+				e.confirm()
+			}
+		})
+	})
+}
+
 // writeAgents writes the agents that the entry knows to the store, as the product does: by
 // the running entry with the lowest address, and only while it is settled. A store that has
 // come back from an older copy gets the list, too.
@@ -267,6 +298,9 @@
 
 // RecordDecision implements director.Port.
 func (e *Entry) RecordDecision(d director.Decision) {
+	if d.Event == director.OwnerUnverified {
+		e.confirm()
+	}
 	e.world.count(string(d.Event))
 	e.world.tracef("entry %s %s %s agent %s load %.1f tried %d", e.address, d.Event, d.Flow, d.Agent, d.Load, d.Tried)
 }
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -39,6 +39,8 @@
 	tickInterval          = 100 * time.Millisecond // between the Tick calls of an entry or agent
 	registryPollInterval  = time.Second            // at which an entry reads the registered agents
 	agentListInterval     = time.Second            // at which the first entry writes the registered agents
+	storeDelay            = 5 * time.Millisecond   // of a read for resets that wait
+	confirmInterval       = 300 * time.Millisecond // between two of these reads of an entry
 	probeInterval         = 500 * time.Millisecond // between the routers' health checks of an entry
 	minDelay              = 100 * time.Microsecond // one way between instances
 	maxDelay              = 700 * time.Microsecond
@@ -171,6 +173,7 @@
 //     route of the VIP has ever named its service
 //   - "evacuations": requests for the evacuation of a failure domain
 //   - "opened-" followed by a failure domain: flows that its upstreams accepted
+//   - "confirmations": reads of the configuration by entries whose resets wait for them
 //   - "bytes": total size of the datagrams between processes, including lost ones
 //   - the events of director.Decision, and "agent-" followed by a relay.Event
 //
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -82,7 +82,7 @@
 		d.port.RecordDecision(Decision{Event: OwnerChanged, Flow: o.Flow, Agent: from, Previous: rec.owner, Start: rec.startID, Reported: o.Start, Restored: rec.restored})
 	}
 	rec.announce(from, o)
-	rec.stages, rec.gone, rec.ownedAt, rec.restored = nil, nil, now, false
+	rec.stages, rec.gone, rec.unverified, rec.ownedAt, rec.restored = nil, nil, nil, now, false
 	rec.service = d.members.service(from)
 	rec.lastSeen = now
 }
@@ -147,8 +147,8 @@
 
 // handleReturnedSearch handles a packet of a search that none of its candidates
 // accepted. It continues with the next stage. After the last one it resets the flow
-// if the search proves that no agent holds it, and else marks the search as
-// inconclusive. It does not reply to a reset. If the owner has been found in the meantime,
+// if the search proves that no agent holds it, at once or after a verification of the
+// configuration, and else marks the search as inconclusive. If the owner has been found in the meantime,
 // the packet is sent to it, unless it is one of those that refused the packet: then the
 // packet is of an earlier flow with the same addresses, and would be returned again and again.
 func (d *Director) handleReturnedSearch(now time.Duration, s *shard, f *peer.Frame, h segment.Header) {
@@ -156,6 +156,9 @@
 	if rec == nil || rec.gone != nil {
 		return // the flow has been reset, or its record has expired and the caller will retransmit
 	}
+	if rec.unverified != nil {
+		return // a copy of the packet has been returned before
+	}
 	if !rec.searching {
 		if f.Service == 0 || !slices.Contains(f.Candidates, rec.owner) {
 			d.deliver(s, rec, f.Packet)
@@ -173,8 +176,25 @@
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
 		return
 	}
+	if d.verifiedAfter(rec.lastSeen) {
+		d.resetUnheld(now, s, h, rec.stages)
+		return
+	}
+	u := &unverifiedReset{header: h, arrivedAt: rec.lastSeen, since: now, rec: rec, returned: rec.stages}
+	if !d.awaitVerification(s, u) {
+		rec.inconclusive = true
+		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
+		return
+	}
+	rec.unverified = u
+	d.port.RecordDecision(Decision{Event: OwnerUnverified, Flow: h.Flow})
+}
+
+// resetUnheld resets a flow that no agent holds, of which a packet with the header h was returned
+// by all agents of a search. It does not reply to a reset.
+func (d *Director) resetUnheld(now time.Duration, s *shard, h segment.Header, returned []searchStage) {
 	visited := 0
-	for _, stage := range rec.stages {
+	for _, stage := range returned {
 		visited += len(stage.agents)
 	}
 	d.forget(s, h.Flow)
@@ -246,6 +266,7 @@
 	idle = min(idle+idleSlack, d.lifetime)
 	d.eachShard(func(s *shard) {
 		d.repeatResets(now, s)
+		d.resetVerified(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
 				d.forget(s, flow)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -94,6 +94,9 @@
 	// OwnerUncertain means that a search found no owner but could not rule out that
 	// there is one. The flow is not reset.
 	OwnerUncertain Event = "found-nobody-uncertain"
+	// OwnerUnverified means that a complete search found no owner, and that the reset waits for
+	// a verification of the configuration.
+	OwnerUnverified Event = "found-nobody-unverified"
 	// OwnerFound means that a search has found the owner of a flow.
 	OwnerFound Event = "found"
 	// OwnerChanged means that another agent than the recorded owner has announced an open
@@ -228,6 +231,7 @@
 		configMu   sync.Mutex
 		config     atomic.Pointer[route.Config]
 		verified   atomic.Int64 // time of the last verification against the store, in ns; 0 if none
+		confirmed  atomic.Int64 // the same of the last one by a read of this entry
 		members    *members
 		history    history
 		absences   absences
@@ -242,6 +246,8 @@
 		buf   []byte // for encoding datagrams
 		// resets are the flows whose resets are sent again, see repeatResets.
 		resets []segment.Flow
+		// unverified are the resets that wait for a verification of the configuration.
+		unverified []*unverifiedReset
 	}
 
 	// flowRecord is the cached state of a flow.
@@ -253,22 +259,23 @@
 		open         bool           // the owner has reported that its upstream holds the flow
 		closed       bool           // the caller has sent Fin or Reset
 		searching    bool
-		inconclusive bool          // the search ended without proof that there is no owner
-		gone         *goneFlow     // the upstream that held the flow has restarted or ended; nil if not known
-		stages       []searchStage // stages of the search
-		round        uint8         // number of the flow's current search
-		searchedAt   time.Duration // when the search was started or repeated
-		acknowledged uint32        // last acknowledgement number of the caller, 0 if none
-		lastSeen     time.Duration // time of the last packet or Owned message
-		waitingPlace waitingPlace  // of an opening that was returned
-		ownedAt      time.Duration // when the owner last announced the flow; 0 if it has not
-		restored     bool          // by RestoreFlows; the owner has not announced the flow since
-		created      time.Duration // when the flow was last placed, else when the record was added
-		openingAt    time.Duration // when the caller sent the opening that was placed
-		copies       uint32        // number of the last copy of that opening
-		link         capacity.Flow // account of the flow's bytes, unused without a Link
-		placed       bool          // openedBy is set
-		openedBy     uint32        // sequence number of the opening that was placed
+		inconclusive bool             // the search ended without proof that there is no owner
+		unverified   *unverifiedReset // waits for a verification of the configuration; nil if none does
+		gone         *goneFlow        // the upstream that held the flow has restarted or ended; nil if not known
+		stages       []searchStage    // stages of the search
+		round        uint8            // number of the flow's current search
+		searchedAt   time.Duration    // when the search was started or repeated
+		acknowledged uint32           // last acknowledgement number of the caller, 0 if none
+		lastSeen     time.Duration    // time of the last packet or Owned message
+		waitingPlace waitingPlace     // of an opening that was returned
+		ownedAt      time.Duration    // when the owner last announced the flow; 0 if it has not
+		restored     bool             // by RestoreFlows; the owner has not announced the flow since
+		created      time.Duration    // when the flow was last placed, else when the record was added
+		openingAt    time.Duration    // when the caller sent the opening that was placed
+		copies       uint32           // number of the last copy of that opening
+		link         capacity.Flow    // account of the flow's bytes, unused without a Link
+		placed       bool             // openedBy is set
+		openedBy     uint32           // sequence number of the opening that was placed
 	}
 
 	// Option configures a Director.
@@ -373,15 +380,29 @@
 	return agents, known && d.history.complete()
 }
 
-// MarkVerified records that the configuration was the newest one at the given time.
+// MarkVerified records that the configuration in force is that of a call to the store which this
+// entry began at the given time: no flow was placed under a newer one before.
 func (d *Director) MarkVerified(at time.Duration) {
-	if at > time.Duration(d.verified.Load()) {
-		d.verified.Store(int64(at))
+	raise(&d.confirmed, at)
+	raise(&d.verified, at)
+}
+
+// MarkVerifiedElsewhere records that the configuration was the newest one at about the given time,
+// according to another entry. The message may have been under way for longer than assumed, so that
+// no reset rests on this.
+func (d *Director) MarkVerifiedElsewhere(at time.Duration) { raise(&d.verified, at) }
+
+// raise stores a time unless a later one is stored.
+func raise(stored *atomic.Int64, at time.Duration) {
+	for old := stored.Load(); int64(at) > old && !stored.CompareAndSwap(old, int64(at)); old = stored.Load() {
 	}
 }
 
 // MarkUnverified records that it is not known whether the configuration is the newest one.
-func (d *Director) MarkUnverified() { d.verified.Store(0) }
+func (d *Director) MarkUnverified() {
+	d.confirmed.Store(0)
+	d.verified.Store(0)
+}
 
 // VerifiedAgo returns the time since the configuration was last verified to be the
 // newest, and false if it never was.
@@ -473,7 +494,8 @@
 // to the flow's owner. If the owner is unknown, it starts a search. During a search,
 // it sends the packet to the first stage, and after searchRetryAfter it repeats the
 // search, see queryAll. After an inconclusive search it starts another one. A packet for an
-// owner that restarts is held until the owner is back.
+// owner that restarts is held until the owner is back. A packet of a flow whose reset waits for a
+// verification of the configuration is dropped.
 func (d *Director) handleEstablished(now time.Duration, s *shard, h segment.Header, packet []byte) {
 	rec := s.flows[h.Flow]
 	isNew := rec == nil
@@ -492,6 +514,13 @@
 		d.startSearch(now, s, rec, h, packet)
 		return
 	}
+	if rec.unverified != nil {
+		if rec.waitsForReset(h) {
+			return
+		}
+		d.startSearch(now, s, rec, h, packet)
+		return
+	}
 	if h.Has(segment.Ack) {
 		rec.confirm(h.Acknowledged)
 	}
--- a/pkg/director/reuse_test.go
+++ b/pkg/director/reuse_test.go
@@ -187,6 +187,8 @@
 	s.send(t, 1100*time.Millisecond, segment.Ack, 105, 50)
 	s.sendBack(t, 1110*time.Millisecond, s.port.last())
 	s.sendBack(t, 1120*time.Millisecond, s.port.last())
+	s.MarkVerified(1130 * time.Millisecond)
+	s.ResetVerified(1140 * time.Millisecond)
 	is.Equal(s.port.resets, []uint32{50})
 	s.send(t, 1200*time.Millisecond, segment.Ack, 7001, 90001)
 	is.Equal(s.port.last().Kind, peer.Search)
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -11,7 +11,7 @@
 // that may own the flow.
 func (d *Director) startSearch(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.lastSeen, rec.searching, rec.searchedAt = now, true, now
-	rec.owner, rec.startID, rec.open, rec.inconclusive = peer.Addr{}, 0, false, false
+	rec.owner, rec.startID, rec.open, rec.inconclusive, rec.unverified = peer.Addr{}, 0, false, false, nil
 	if h.Has(segment.Ack) {
 		rec.confirm(h.Acknowledged)
 	}
--- /dev/null
+++ b/pkg/director/unverified.go
@@ -0,0 +1,95 @@
+package director
+
+import (
+	"slices"
+	"time"
+
+	"hickoryhook.example/pkg/segment"
+)
+
+// A flow may have been placed under a version of the configuration that this entry has not heard
+// of yet, at a service that it does not know. The opening of a flow precedes its other packets. So
+// a reset waits until the configuration in force was the newest one after the packet had arrived,
+// see MarkVerified.
+
+const (
+	// verificationWait is how long a reset waits: the store answers within a second or not.
+	verificationWait = 2 * time.Second
+	// maxUnverified bounds the resets that wait in one shard, and with it their memory, 2 MB in
+	// all shards: the flows of a third of the upstreams may end at once.
+	maxUnverified = 1024
+)
+
+// unverifiedReset is a reset that waits for a verification of the configuration.
+type unverifiedReset struct {
+	header    segment.Header // of the packet to which it replies
+	arrivedAt time.Duration  // when the packet had arrived
+	since     time.Duration
+	rec       *flowRecord
+	returned  []searchStage // the agents that do not hold the flow
+}
+
+// verifiedAfter reports whether the configuration in force was the newest one after a time.
+func (d *Director) verifiedAfter(at time.Duration) bool { return d.confirmed.Load() > int64(at) }
+
+// awaitVerification lets a reset wait, unless too many do. It reports whether it waits.
+func (d *Director) awaitVerification(s *shard, u *unverifiedReset) bool {
+	if len(s.unverified) >= maxUnverified {
+		return false
+	}
+	s.unverified = append(s.unverified, u)
+	return true
+}
+
+// AwaitsVerification reports whether resets wait for a verification of the configuration, see
+// MarkVerified and ResetVerified.
+func (d *Director) AwaitsVerification() bool {
+	awaits := false
+	d.eachShard(func(s *shard) { awaits = awaits || len(s.unverified) > 0 })
+	return awaits
+}
+
+// ResetVerified sends the resets that have waited for the verification of the configuration that
+// was recorded last. It is called after MarkVerified.
+func (d *Director) ResetVerified(now time.Duration) {
+	d.eachShard(func(s *shard) { d.resetVerified(now, s) })
+}
+
+// resetVerified sends the resets of a shard that are proven, and discards those that are
+// disproved or have waited for verificationWait.
+func (d *Director) resetVerified(now time.Duration, s *shard) {
+	s.unverified = slices.DeleteFunc(s.unverified, func(u *unverifiedReset) bool {
+		switch {
+		case u.rec.unverified != u || s.flows[u.header.Flow] != u.rec:
+			return true // an owner has been found, or the packet of a later flow has arrived
+		case d.verifiedAfter(u.arrivedAt):
+			d.resetIfProven(now, s, u)
+			return true
+		case now-u.since > verificationWait:
+			d.dropUnverified(u)
+			return true
+		}
+		return false
+	})
+}
+
+// resetIfProven sends a reset that has waited, unless the newest configuration disproves it.
+func (d *Director) resetIfProven(now time.Duration, s *shard, u *unverifiedReset) {
+	if !d.settled(now, u.returned) || !d.members.stagesCover(u.returned, d.holderServices(u.header.Flow)) {
+		d.dropUnverified(u)
+		return
+	}
+	d.resetUnheld(now, s, u.header, u.returned)
+}
+
+// dropUnverified discards a reset that cannot be proven. The next packet of the
+// flow starts another search.
+func (d *Director) dropUnverified(u *unverifiedReset) {
+	u.rec.unverified, u.rec.inconclusive = nil, true
+	d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: u.header.Flow})
+}
+
+// waitsForReset reports whether a packet is of the flow whose reset waits.
+func (r *flowRecord) waitsForReset(h segment.Header) bool {
+	return r.unverified != nil && (!h.Has(segment.Ack) || near(h.Acknowledged, r.unverified.header.Acknowledged, confirmWindow))
+}
