A missing route proves nothing until a later call to the store confirms it

Callers could see a reset (no-route, route-dropped) of an open flow by an entry that was cut off from the store and from the other entries: its configuration counted as current for 2 s after its last verification, and lacked a route that was added meanwhile.

The reset waits for a verification by a call to the store that the entry began after the packet had arrived, as that of a flow without an owner does. For want of a route an entry makes such a call once in 5 s at most: these callers cannot be served. An opening is reset only before its caller sends the first copy, as another entry may place that under a later version. At most 256 of these resets wait in a shard.

TestFlowWithoutRouteIsResetOnlyIfConfigurationIsCurrent asked for a reset at once if the configuration was verified within 2 s; it asks for a verification after the packet instead, which is stricter, and covers a message of another entry, a newer version with the route, a verification that comes too late and a store that has come back from an older copy. TestUnreadableRouteIsNotMissing records the verifications, and checks a version with an unreadable route that comes while a reset waits. Without the checks these tests and TestOpeningWithoutRouteIsResetBeforeItsCopies fail.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -59,6 +59,9 @@
 	// each serves all that began to wait before it. It is a third of what a caller takes to
 	// send a packet for the second time after the first repetition.
 	confirmInterval = 300 * time.Millisecond
+	// unroutedInterval is the least time between two calls to the store for resets for want
+	// of a route, which serve nobody but a caller that cannot be served.
+	unroutedInterval = 5 * time.Second
 	// confirmRetryDelay is the pause after such a call that has failed.
 	confirmRetryDelay = time.Second
 	// confirmWait is the wait of a watch for changes that the store has already: the least
@@ -217,12 +220,18 @@
 // verifyLoop reads the configuration from the store whenever it has not been
 // verified for a while, by this entry or by a hello message of another. The delay
 // grows with the rank of the entry, so that usually only one
-// entry reads.
+// entry reads. It also verifies it for resets for want of a route that wait.
 func (c *configSync) verifyLoop(ctx context.Context) error {
-	readAt := time.Duration(0)
+	readAt, unroutedAt := time.Duration(0), -unroutedInterval
 	for ctx.Err() == nil {
 		sleep(ctx, verifyCheckInterval)
 		rank, now := c.rank(), c.now()
+		if _, unrouted := c.director.AwaitsVerification(); unrouted && now-unroutedAt >= unroutedInterval {
+			unroutedAt = now
+			if err := c.confirm(ctx); err != nil && ctx.Err() == nil {
+				c.metrics.increment("store-errors")
+			}
+		}
 		ago, ok := c.director.VerifiedAgo(now)
 		if !ok {
 			ago = now - time.Duration(c.unverifiedAt.Load())
@@ -261,7 +270,7 @@
 // confirmForResets verifies the configuration if resets wait for that, sends those that it proves,
 // and requests another verification if others wait. It returns the time until then.
 func (c *configSync) confirmForResets(ctx context.Context) time.Duration {
-	if !c.director.AwaitsVerification() {
+	if unheld, _ := c.director.AwaitsVerification(); !unheld {
 		return 0
 	}
 	pause := confirmInterval
@@ -270,7 +279,7 @@
 		pause = confirmRetryDelay
 	}
 	c.director.ResetVerified(c.now())
-	if c.director.AwaitsVerification() {
+	if unheld, _ := c.director.AwaitsVerification(); unheld {
 		c.requestConfirmation()
 	}
 	return pause
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -43,7 +43,8 @@
 
 // awaits reports whether the reset of a flow without an owner waits.
 func (s *confirmSite) awaits() bool {
-	return s.director.AwaitsVerification()
+	unheld, _ := s.director.AwaitsVerification()
+	return unheld
 }
 
 // findNobody passes a packet of an open flow, which the only agent returns.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -254,6 +254,7 @@
 
 	s.sendHeartbeat("ready", 1)
 	s.eventually("the entry is ready", s.ready)
+	s.sendHeartbeat("ready", 2) // due meanwhile: without it the agent takes the upstream for ended
 	receiver, flags := s.openFlow(vipText, 2001)
 	is.Equal(receiver, "upstream")
 	is.Equal(flags, byte(2)) // open
@@ -262,6 +263,7 @@
 	receiver, flags = s.openFlow("198.18.0.9", 2002)
 	is.Equal(receiver, "caller")
 	is.Equal(flags, byte(1)) // reset
+	s.sendHeartbeat("ready", 3)
 	s.putConfig(2, vipText, "198.18.0.9")
 	s.eventually("the new route is in force", func() bool {
 		receiver, _ := s.openFlow("198.18.0.9", 2003)
@@ -269,7 +271,7 @@
 	})
 
 	// a draining upstream receives no openings: the caller is refused
-	s.sendHeartbeat("draining", 2)
+	s.sendHeartbeat("draining", 4)
 	s.eventually("openings are refused", func() bool {
 		receiver, flags := s.openFlow(vipText, 2004)
 		return receiver == "caller" && flags == 1
@@ -277,7 +279,7 @@
 
 	// the entry keeps serving while the store is unavailable
 	s.store.SetFault(kvstandin.Busy)
-	s.sendHeartbeat("ready", 3)
+	s.sendHeartbeat("ready", 5)
 	s.eventually("openings are accepted again", func() bool {
 		receiver, _ := s.openFlow(vipText, 2005)
 		return receiver == "upstream"
--- a/internal/fleetsim/entry.go
+++ b/internal/fleetsim/entry.go
@@ -148,7 +148,8 @@
 		e.director.ResetVerified(w.now())
 		w.After(confirmInterval, func() {
 			e.confirming = false
-			if e.up() && e.generation == generation && e.director.AwaitsVerification() {
+			unheld, _ := e.director.AwaitsVerification()
+			if e.up() && e.generation == generation && unheld {
 				e.confirm()
 			}
 		})
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -180,7 +180,7 @@
 		d.resetUnheld(now, s, h, rec.stages)
 		return
 	}
-	u := &unverifiedReset{header: h, arrivedAt: rec.lastSeen, since: now, rec: rec, returned: rec.stages}
+	u := &unverifiedReset{header: h, arrivedAt: rec.lastSeen, since: now, event: OwnerNotFound, rec: rec, returned: rec.stages}
 	if !d.awaitVerification(s, u) {
 		rec.inconclusive = true
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
--- a/pkg/director/config_test.go
+++ b/pkg/director/config_test.go
@@ -86,31 +86,70 @@
 }
 
 // TestFlowWithoutRouteIsResetOnlyIfConfigurationIsCurrent guards against the reset of a flow whose
-// route a newer configuration has, which this entry has not received.
+// route a newer configuration has, which this entry has not received: it is cut off from the store
+// and from other entries, and its last verification is less than 2 s old.
 func TestFlowWithoutRouteIsResetOnlyIfConfigurationIsCurrent(t *testing.T) {
 	is := is.New(t)
 	port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
 	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port)
 	d.SetConfig(route.New(7, nil))
-	packet := platform.EncodePacket(segment.Header{Flow: feedFlow(route.Route{Shares: []route.Share{{Service: feedService, Weight: 1}}}), Flags: segment.Ack, Acknowledged: 1001, Length: 50}, false)
+	flow := feedFlow(route.Route{Shares: []route.Share{{Service: feedService, Weight: 1}}})
+	packet := platform.EncodePacket(segment.Header{Flow: flow, Flags: segment.Ack, Acknowledged: 1001, Length: 50}, false)
+	send := func(at time.Duration) { is.NoErr(d.HandleCallerPacket(at, packet)) }
+	check := func(now time.Duration, resets int) {
+		t.Helper()
+		d.ResetVerified(now)
+		is.Equal(port.resets, resets)
+	}
+	d.MarkVerified(9900 * time.Millisecond)
+	send(10 * time.Second)
+	check(10100*time.Millisecond, 0) // verified before the packet arrived
+	d.MarkVerifiedElsewhere(10200 * time.Millisecond)
+	check(10300*time.Millisecond, 0) // the message may have been under way for long
+	d.MarkVerified(10250 * time.Millisecond)
+	check(10400*time.Millisecond, 1)
+
+	send(11 * time.Second)
+	d.SetConfig(route.New(8, []route.Route{{VIP: flow.VIP(), Shares: []route.Share{{Service: feedService, Weight: 1}}}}))
+	d.MarkVerified(11100 * time.Millisecond)
+	check(11200*time.Millisecond, 1) // the newer version has the route
+
+	d.SetConfig(route.New(9, nil))
+	send(13 * time.Second)
+	d.Tick(15100*time.Millisecond, 100*time.Millisecond)
+	d.MarkVerified(15200 * time.Millisecond)
+	check(15300*time.Millisecond, 1) // the caller has sent the packet again or gives up
+
+	send(16 * time.Second)
+	d.MarkVerified(16100 * time.Millisecond)
+	d.MarkUnverified() // as when the store has come back from an older copy
+	check(16200*time.Millisecond, 1)
+}
+
+// TestOpeningWithoutRouteIsResetBeforeItsCopies guards against the reset of a flow that another
+// entry has opened by a copy of the opening, under a version that has the route, while the store was
+// slow to answer this one.
+func TestOpeningWithoutRouteIsResetBeforeItsCopies(t *testing.T) {
 	for _, c := range []struct {
-		at     time.Duration
-		verify bool
+		name   string
+		copies uint32
+		after  time.Duration // from the arrival of the opening to the answer of the store
 		resets int
 	}{
-		{10 * time.Second, false, 0},
-		{10 * time.Second, true, 1},
-		{11900 * time.Millisecond, false, 2},
-		{12100 * time.Millisecond, false, 2}, // verified too long ago
-		{13 * time.Second, true, 3},
+		{"at once", 0, 20 * time.Millisecond, 1},
+		{"after the first copy", 0, 200 * time.Millisecond, 0},
+		{"of the first copy", 1, 20 * time.Millisecond, 0},
 	} {
-		if c.verify {
-			d.MarkVerified(c.at)
-		}
-		is.NoErr(d.HandleCallerPacket(c.at, packet))
-		is.Equal(port.resets, c.resets)
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			port := &framePort{recordingPort: recordingPort{new([]peer.Addr)}}
+			d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port)
+			d.SetConfig(route.New(7, nil))
+			h := segment.Header{Flow: segment.NewFlow(vipAt(1), vipAt(2)), Flags: segment.Open, Sequence: 7, Acknowledged: c.copies}
+			is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(h, false)))
+			d.MarkVerified(time.Second + 1)
+			d.ResetVerified(time.Second + c.after)
+			is.Equal(port.resets, c.resets)
+		})
 	}
-	d.MarkUnverified() // as when the store has come back from an older copy
-	is.NoErr(d.HandleCallerPacket(13*time.Second, packet))
-	is.Equal(port.resets, 3)
 }
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -44,9 +44,9 @@
 	queriesPerSecond = 35
 	queryBurst       = 35
 	// maxConfigAge is the time since the last verification against the store up to
-	// which the configuration counts as current, so that flows to a VIP without a
-	// route may be reset. It is two thirds of the 3 s within which a change of the
-	// configuration must take effect.
+	// which the configuration counts as current, so that the entry may write the flow
+	// holders. It is two thirds of the 3 s within which a change of the configuration
+	// must take effect.
 	maxConfigAge = 2 * time.Second
 	// defaultIdleTimeout and defaultFlowLifetime apply unless the configuration and
 	// WithLifetime set other values.
@@ -457,23 +457,24 @@
 	}
 }
 
-// handleUnrouted removes the flow of a packet whose VIP has no route from the cache
-// and resets it, if the configuration is current. It does not reply to a reset.
+// handleUnrouted lets the reset of a flow whose VIP has no route wait for a verification of the
+// configuration: a newer one may have the route.
 func (d *Director) handleUnrouted(now time.Duration, s *shard, h segment.Header) {
-	if !d.ConfigCurrent(now) {
-		return // a newer configuration may have the route
-	}
-	rec := s.flows[h.Flow]
-	d.forget(s, h.Flow)
-	if h.Has(segment.Reset) {
-		return
-	}
 	event := NoRoute
-	if rec != nil {
+	if s.flows[h.Flow] != nil {
 		event = RouteDropped
 	}
-	verified, _ := d.VerifiedAgo(now)
-	d.reset(h, Decision{Event: event, Proof: NotRouted, Age: verified})
+	d.awaitVerification(s, &unverifiedReset{header: h, arrivedAt: now, since: now, event: event})
+}
+
+// resetUnrouted removes a flow whose VIP has no route from the cache and resets it. It does not
+// reply to a reset.
+func (d *Director) resetUnrouted(now time.Duration, s *shard, u *unverifiedReset) {
+	d.forget(s, u.header.Flow)
+	if u.header.Has(segment.Reset) {
+		return
+	}
+	d.reset(u.header, Decision{Event: u.event, Proof: NotRouted, Age: now - time.Duration(d.confirmed.Load())})
 }
 
 // handleUnreadable handles a packet whose VIP may have a route that could not be read. An open
--- a/pkg/director/search_test.go
+++ b/pkg/director/search_test.go
@@ -64,7 +64,8 @@
 
 // awaits reports whether the reset of a flow without an owner waits.
 func (s *searchSite) awaits() bool {
-	return s.AwaitsVerification()
+	unheld, _ := s.AwaitsVerification()
+	return unheld
 }
 
 // lastEvent returns the event of the last decision.
--- a/pkg/director/unreadable_test.go
+++ b/pkg/director/unreadable_test.go
@@ -30,6 +30,8 @@
 		flow := segment.NewFlow(netipPort(vipAt(1), callerPort), vipAt(2))
 		h := segment.Header{Flow: flow, Flags: flags, Acknowledged: 1001}
 		is.NoErr(d.HandleCallerPacket(time.Second, platform.EncodePacket(h, false)))
+		d.MarkVerified(time.Second + 1)
+		d.ResetVerified(time.Second + 1)
 		return len(port.frames) - frames, port.resets - resets
 	}
 	check := func(callerPort uint16, flags segment.Flags, wantFrames, wantResets int) {
@@ -40,11 +42,16 @@
 	}
 	check(1, segment.Open, 1, 0) // placed
 	d.SetNextConfig(route.New(9, nil, route.WithUnreadable(1)), 7)
-	d.MarkVerified(time.Second)
 	check(1, segment.Ack, 1, 0)  // known here
 	check(2, segment.Ack, 1, 0)  // searched for
 	check(3, segment.Open, 0, 0) // dropped
 	is.True(!d.Settled(2 * time.Second))
 	d.SetNextConfig(route.New(11, nil), 9)
 	check(1, segment.Ack, 0, 1) // the route is missing indeed
+	is.NoErr(d.HandleCallerPacket(2*time.Second, platform.EncodePacket(segment.Header{Flow: segment.NewFlow(netipPort(vipAt(1), 4), vipAt(2)), Flags: segment.Ack}, false)))
+	d.SetNextConfig(route.New(13, nil, route.WithUnreadable(1)), 11)
+	d.MarkVerified(2100 * time.Millisecond)
+	resets := port.resets
+	d.ResetVerified(2200 * time.Millisecond)
+	is.Equal(port.resets, resets) // the newer version may have a route
 }
--- a/pkg/director/unverified.go
+++ b/pkg/director/unverified.go
@@ -18,6 +18,8 @@
 	// maxUnverified bounds the resets that wait in one shard, and with it their memory, 2 MB in
 	// all shards: the flows of a third of the upstreams may end at once.
 	maxUnverified = 1024
+	// maxUnrouted bounds those for want of a route, so that they leave room for the others.
+	maxUnrouted = 256
 )
 
 // unverifiedReset is a reset that waits for a verification of the configuration.
@@ -25,8 +27,9 @@
 	header    segment.Header // of the packet to which it replies
 	arrivedAt time.Duration  // when the packet had arrived
 	since     time.Duration
-	rec       *flowRecord
-	returned  []searchStage // the agents that do not hold the flow
+	event     Event         // OwnerNotFound, NoRoute or RouteDropped
+	rec       *flowRecord   // of OwnerNotFound
+	returned  []searchStage // of OwnerNotFound: the agents that do not hold the flow
 }
 
 // verifiedAfter reports whether the configuration in force was the newest one after a time.
@@ -34,7 +37,7 @@
 
 // awaitVerification lets a reset wait, unless too many do. It reports whether it waits.
 func (d *Director) awaitVerification(s *shard, u *unverifiedReset) bool {
-	if len(s.unverified) >= maxUnverified {
+	if n := len(s.unverified); n >= maxUnverified || u.event != OwnerNotFound && n >= maxUnrouted {
 		return false
 	}
 	s.unverified = append(s.unverified, u)
@@ -42,11 +45,15 @@
 }
 
 // AwaitsVerification reports whether resets wait for a verification of the configuration, see
-// MarkVerified and ResetVerified.
-func (d *Director) AwaitsVerification() bool {
-	awaits := false
-	d.eachShard(func(s *shard) { awaits = awaits || len(s.unverified) > 0 })
-	return awaits
+// MarkVerified and ResetVerified: those of flows without an owner, and those for want of a route.
+func (d *Director) AwaitsVerification() (unheld, unrouted bool) {
+	d.eachShard(func(s *shard) {
+		for _, u := range s.unverified {
+			unheld = unheld || u.event == OwnerNotFound
+			unrouted = unrouted || u.event != OwnerNotFound
+		}
+	})
+	return unheld, unrouted
 }
 
 // ResetVerified sends the resets that have waited for the verification of the configuration that
@@ -60,7 +67,7 @@
 func (d *Director) resetVerified(now time.Duration, s *shard) {
 	s.unverified = slices.DeleteFunc(s.unverified, func(u *unverifiedReset) bool {
 		switch {
-		case u.rec.unverified != u || s.flows[u.header.Flow] != u.rec:
+		case u.event == OwnerNotFound && (u.rec.unverified != u || s.flows[u.header.Flow] != u.rec):
 			return true // an owner has been found, or the packet of a later flow has arrived
 		case d.verifiedAfter(u.arrivedAt):
 			d.resetIfProven(now, s, u)
@@ -75,6 +82,13 @@
 
 // resetIfProven sends a reset that has waited, unless the newest configuration disproves it.
 func (d *Director) resetIfProven(now time.Duration, s *shard, u *unverifiedReset) {
+	if u.event != OwnerNotFound {
+		c := d.config.Load()
+		if _, routed := c.Lookup(u.header.Flow.VIP()); !routed && c.Unreadable() == 0 && !u.mayOpenElsewhere(now) {
+			d.resetUnrouted(now, s, u)
+		}
+		return
+	}
 	if !d.settled(now, u.returned) || !d.members.stagesCover(u.returned, d.holderServices(u.header.Flow)) {
 		d.dropUnverified(u)
 		return
@@ -82,9 +96,18 @@
 	d.resetUnheld(now, s, u.header, u.returned)
 }
 
-// dropUnverified discards a reset that cannot be proven. The next packet of the
-// flow starts another search.
+// mayOpenElsewhere reports whether the reset is one of an opening of which the caller may have sent
+// a copy: another entry may have placed that under a version since the verified one.
+func (u *unverifiedReset) mayOpenElsewhere(now time.Duration) bool {
+	return u.header.Opens() && now-openingSent(u.arrivedAt, u.header) >= firstCopyAfter
+}
+
+// dropUnverified discards a reset that cannot be proven. The next packet of a flow without an
+// owner starts another search.
 func (d *Director) dropUnverified(u *unverifiedReset) {
+	if u.event != OwnerNotFound {
+		return
+	}
 	u.rec.unverified, u.rec.inconclusive = nil, true
 	d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: u.header.Flow})
 }
