--- a/pkg/director/config_test.go
+++ b/pkg/director/config_test.go
@@ -153,3 +153,20 @@
 		})
 	}
 }
+
+// TestResetsForWantOfRouteLeaveRoom guards against a flood of packets without a route that leaves no
+// room for the resets of flows without an owner, and against one that takes memory without bound.
+func TestResetsForWantOfRouteLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	s := newSearchSite(t)
+	unrouted := segment.NewFlow(s.flow.Caller(), netipPort(vipAt(2), 9))
+	for port := uint16(10); unrouted.Hash()%16 != s.flow.Hash()%16; port++ { // of the same shard
+		unrouted = segment.NewFlow(s.flow.Caller(), netipPort(vipAt(2), port))
+	}
+	for range 5000 {
+		is.NoErr(s.HandleCallerPacket(3*time.Second, platform.EncodePacket(segment.Header{Flow: unrouted, Flags: segment.Ack, Acknowledged: 5}, false)))
+	}
+	s.foundNobody()
+	s.verify(3001*time.Millisecond, 3010*time.Millisecond)
+	is.Equal(s.port.resets, 256+1)
+}
