--- a/pkg/director/forgotten_search_test.go
+++ b/pkg/director/forgotten_search_test.go
@@ -22,6 +22,8 @@
 	restarted.send(t, 1100*time.Millisecond, segment.Ack, 101, 9)
 	is.Equal(len(restarted.port.last().Candidates), 3)
 	restarted.sendBack(t, 1200*time.Millisecond, earlier.port.last())
+	restarted.MarkVerified(1300 * time.Millisecond)
+	restarted.ResetVerified(1300 * time.Millisecond)
 	is.Equal(len(restarted.port.resets), 0)
 
 	s := newReuseSite(t)
@@ -36,6 +38,8 @@
 	is.Equal(s.port.last().Kind, peer.Search)
 	is.Equal(len(s.port.last().Candidates), 3)
 	s.sendBack(t, 30100*time.Millisecond, late)
+	s.MarkVerified(30200 * time.Millisecond)
+	s.ResetVerified(30200 * time.Millisecond)
 	is.Equal(len(s.port.resets), 0)
 }
 
@@ -56,5 +60,6 @@
 	is.Equal(len(s.port.last().Candidates), 2)
 	late.OriginalKind, late.Kind, late.Hop = late.Kind, peer.Returned, len(late.Candidates)
 	is.NoErr(s.HandleAgentDatagram(3600*time.Millisecond, emptyAgent, late.Append(nil)))
+	s.verify(3700*time.Millisecond, 3700*time.Millisecond)
 	is.Equal(s.port.resets, 0)
 }
