--- a/pkg/relay/question_test.go
+++ b/pkg/relay/question_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -27,3 +28,17 @@
 	is.NoErr(r.fromUpstream(earlier))
 	is.Equal(r.take(), "deliver 10.0.0.2") // a search decides
 }
+
+// TestFirstHeartbeatAfterPauseNamesItsStart guards against resets of living flows by entries: the
+// first heartbeat of a start comes after a pause of the agent. The number of a heartbeat of the start
+// before would prove that the new one ran after its flows were opened.
+func TestFirstHeartbeatAfterPauseNamesItsStart(t *testing.T) {
+	is := is.New(t)
+	r := newHarness()
+	r.advance(time.Second)
+	r.relay.HandleHeartbeat(r.now, relay.Upstream{ID: "u-1", Born: 100, Sequence: 9, Slots: 2})
+	is.Equal(r.relay.Status(r.now).Heartbeat, uint64(9))
+	r.now += 2 * time.Second
+	r.relay.HandleHeartbeat(r.now, relay.Upstream{ID: "u-2", Born: 200, Sequence: 1, Slots: 2})
+	is.Equal(r.relay.Status(r.now).Heartbeat, uint64(1))
+}
