--- a/pkg/director/forgotten_search_test.go
+++ b/pkg/director/forgotten_search_test.go
@@ -11,10 +11,19 @@
 )
 
 // TestResultOfForgottenSearchResetsNothing guards against the reset of a living flow by a packet of a
-// search that a paused agent returns late: the entry has forgotten the flow since and searches
-// for it again, through an agent that the earlier search did not visit.
+// search that a paused agent returns late: the entry has forgotten the flow since, or was restarted,
+// and searches for it again, through an agent that the earlier search did not visit.
 func TestResultOfForgottenSearchResetsNothing(t *testing.T) {
 	is := is.New(t)
+	earlier := newReuseSite(t)
+	earlier.send(t, 1100*time.Millisecond, segment.Ack, 101, 9)
+	restarted := newReuseSite(t)
+	restarted.reportThird(time.Second, "maklerlink")
+	restarted.send(t, 1100*time.Millisecond, segment.Ack, 101, 9)
+	is.Equal(len(restarted.port.last().Candidates), 3)
+	restarted.sendBack(t, 1200*time.Millisecond, earlier.port.last())
+	is.Equal(len(restarted.port.resets), 0)
+
 	s := newReuseSite(t)
 	s.send(t, 1100*time.Millisecond, segment.Ack, 101, 9)
 	late := s.port.last()
@@ -29,3 +38,23 @@
 	s.sendBack(t, 30100*time.Millisecond, late)
 	is.Equal(len(s.port.resets), 0)
 }
+
+// TestStageOfEarlierSearchProvesNothing guards against the reset of a living flow by a packet of an
+// earlier search, whose last stage had the same agents as that of the present one, and whose
+// first stage lacked one.
+func TestStageOfEarlierSearchProvesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSearchSite(t)
+	s.report(2900*time.Millisecond, emptyAgent, true)
+	s.report(2900*time.Millisecond, runningAgent, false)
+	s.send(3 * time.Second)
+	s.returned(3 * time.Second)
+	late := s.port.last()
+	is.Equal(late.Candidates, []peer.Addr{emptyAgent})
+	s.report(3100*time.Millisecond, third, false)
+	s.send(3500 * time.Millisecond)
+	is.Equal(len(s.port.last().Candidates), 2)
+	late.OriginalKind, late.Kind, late.Hop = late.Kind, peer.Returned, len(late.Candidates)
+	is.NoErr(s.HandleAgentDatagram(3600*time.Millisecond, emptyAgent, late.Append(nil)))
+	is.Equal(s.port.resets, 0)
+}
