--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
@@ -12,11 +13,12 @@
 func (d *Director) startSearch(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.lastSeen, rec.searching, rec.searchedAt = now, true, now
 	rec.owner, rec.startID, rec.open, rec.inconclusive, rec.unverified = peer.Addr{}, 0, false, false, nil
+	rec.question.asked = nil
 	if h.Has(segment.Ack) {
 		rec.confirm(h.Acknowledged)
 	}
 	rec.stages = d.planSearch(now, h.Flow)
-	rec.round++
+	rec.round = d.nextRound()
 	d.port.RecordDecision(Decision{Event: Searched, Flow: h.Flow})
 	d.sendFirstStage(s, rec, h, packet)
 }
@@ -73,8 +75,8 @@
 func (d *Director) queryAll(now time.Duration, s *shard, rec *flowRecord, h segment.Header, packet []byte) {
 	rec.searchedAt = now
 	rec.stages = d.planSearch(now, h.Flow)
-	rec.round++
-	if d.queryLimit.allow(now) {
+	rec.round = d.nextRound()
+	if d.queryLimit.take(now, 1, queriesPerSecond, queryBurst) {
 		tried := 0
 		s.buf = peer.OwnerMessage{Kind: peer.OwnerQuery, Flow: h.Flow, Acknowledged: rec.acknowledged}.Append(s.buf[:0])
 		for _, stage := range rec.stages {
@@ -87,3 +89,20 @@
 	}
 	d.sendFirstStage(s, rec, h, packet)
 }
+
+// nextRound returns the number of a search. Numbers differ between the searches of a flow also if
+// its record was forgotten in between.
+func (d *Director) nextRound() uint8 { return uint8(d.searches.Add(1)) }
+
+// isOf reports whether a returned frame is of the present search of a flow: it has visited the
+// agents of one of its stages. The number alone recurs after 256 searches of the entry, and after
+// its restart.
+func (r *flowRecord) isOf(f *peer.Frame) bool {
+	return f.Round == r.round && f.Stage < len(r.stages) && slices.Equal(f.Candidates, r.stages[f.Stage].agents)
+}
+
+// provesNobody reports whether no agent holds a flow of which all agents of a search have returned
+// a packet.
+func (d *Director) provesNobody(now time.Duration, f segment.Flow, returned []searchStage) bool {
+	return d.settled(now, returned) && d.members.stagesCover(returned, d.holderServices(f))
+}
