An entry hands out the encoded form of the configuration in force

Two configurations may reach an entry at once, by its watch and by a read. The newer one came into force, and the encoded form of the older one could be stored last: other entries that fetched it there got the older one, and did not hear of the newer one until the next change.

The encoded form is kept only if it is that of the configuration in force, checked under the lock that guards it, and handed out only if it is still that; in between the answer is 404, and the next hello message triggers another fetch. The version before it is read after it, so that it is never that of an older version, which would hide one.

TestEncodedFormIsThatOfConfigurationInForce plays the order of the two deterministically; it fails without either check. internal/fleet passes.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -82,7 +82,8 @@
 	evacuations    *evacuations
 	client         *http.Client
 	mu             sync.Mutex
-	raw            []byte            // encoded form of the configuration in force
+	raw            []byte            // encoded form of the configuration in force, see encoded
+	rawVersion     uint64            // its version
 	revision       platform.Revision // of the store, from which the watch continues; zero if it begins with a read
 	watchedVersion uint64            // of the configuration as of revision, 0 if unknown
 	newestHeard    uint64            // newest version that another entry has named
@@ -139,9 +140,7 @@
 	if !newer {
 		return
 	}
-	c.mu.Lock()
-	c.raw = raw
-	c.mu.Unlock()
+	c.keepEncoded(config, raw)
 	c.metrics.increment("configurations")
 	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from))
 	if config.Unreadable() > 0 {
@@ -152,6 +151,27 @@
 	c.onChange()
 }
 
+// keepEncoded keeps the encoded form of a configuration for other entries, unless a newer one has
+// come into force since.
+func (c *configSync) keepEncoded(config *route.Config, raw []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.director.Config() == config {
+		c.raw, c.rawVersion = raw, config.Version()
+	}
+}
+
+// encoded returns the encoded form of the configuration in force and its version. It returns nil
+// before the first, and while that of a newer one is about to be kept.
+func (c *configSync) encoded() ([]byte, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if config := c.director.Config(); config == nil || config.Version() != c.rawVersion {
+		return nil, 0
+	}
+	return c.raw, c.rawVersion
+}
+
 // read reads the evacuated failure domains and the configuration from the store and applies
 // both, in this order, so that no flow is placed before the domains are known. It does not
 // apply the configuration if another entry has a newer one: the store may have come back
@@ -397,15 +417,13 @@
 	mux.HandleFunc("PUT "+flowsPath, collector.serve)
 	mux.HandleFunc("PUT "+flowsPartPath, collector.serve)
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
-		c.mu.Lock()
-		raw := c.raw
-		c.mu.Unlock()
-		previous, config := c.director.PreviousVersion(), c.director.Config()
-		if config == nil || raw == nil {
+		raw, version := c.encoded()
+		previous := c.director.PreviousVersion() // read later: that of an older version would hide one
+		if raw == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		w.Header().Set(versionHeader, strconv.FormatUint(config.Version(), 10))
+		w.Header().Set(versionHeader, strconv.FormatUint(version, 10))
 		w.Header().Set(previousVersionHeader, strconv.FormatUint(previous, 10))
 		if _, err := w.Write(raw); err != nil {
 			return // the client has closed the connection
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -159,3 +162,26 @@
 	e.RecordDecision(director.Decision{Event: director.OwnerUnverified})
 	is.Equal(len(s.confirmWanted), 1)
 }
+
+// TestEncodedFormIsThatOfConfigurationInForce guards against an entry that hands out an older
+// configuration than the one in force: two have come at once, and the encoded form of the older one
+// is kept last.
+func TestEncodedFormIsThatOfConfigurationInForce(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	fetch := func() (int, string) {
+		w := httptest.NewRecorder()
+		s.handler(nil).ServeHTTP(w, httptest.NewRequest(http.MethodGet, configPath, nil))
+		return w.Code, w.Body.String()
+	}
+	older, newer := route.New(8, nil), route.New(9, nil)
+	s.director.SetNextConfig(older, 7)
+	s.director.SetNextConfig(newer, 8)
+	code, _ := fetch() // neither is kept: the one of version 7 is not handed out
+	is.Equal(code, http.StatusNotFound)
+	s.keepEncoded(newer, []byte("newer"))
+	s.keepEncoded(older, []byte("older"))
+	code, body := fetch()
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, "newer")
+}
