--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"hickoryhook.example/internal/kvstandin"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
 )
@@ -22,14 +25,26 @@
 	*configSync
 	t     *testing.T
 	store *kvstandin.Store
-	port  *countingPort
+	port  *searchPort
 	flow  segment.Flow
 }
 
+// searchPort keeps the last frame of a director.
+type searchPort struct {
+	countingPort
+	last peer.Frame
+}
+
+func (p *searchPort) ToProcess(_ peer.Addr, datagram []byte) {
+	if err := p.last.Decode(append([]byte(nil), datagram...)); err != nil {
+		panic(err)
+	}
+}
+
 func newConfirmSite(t *testing.T) *confirmSite {
 	t.Helper()
 	is := is.New(t)
-	s := &confirmSite{t: t, store: kvstandin.New(), port: &countingPort{}}
+	s := &confirmSite{t: t, store: kvstandin.New(), port: &searchPort{}}
 	s.store.Set(platform.ConfigKey, []byte(`{"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"maklerlink"}]}`))
 	s.configSync, _ = newTestConfigSync(t, s.store, s.port)
 	s.started = time.Now().Add(-time.Minute)
@@ -53,10 +68,8 @@
 	is := is.New(s.t)
 	packet := platform.EncodePacket(segment.Header{Flow: s.flow, Flags: segment.Ack, Acknowledged: 900001}, false)
 	is.NoErr(s.director.HandleCallerPacket(s.now(), packet))
-	f := peer.Frame{
-		Kind: peer.Returned, OriginalKind: peer.Search, Service: peer.Service("maklerlink"), Candidates: []peer.Addr{confirmedAgent},
-		Hop: 1, Round: 1, Packet: packet,
-	}
+	f := s.port.last
+	f.OriginalKind, f.Kind, f.Hop, f.Packet = f.Kind, peer.Returned, len(f.Candidates), packet
 	is.NoErr(s.director.HandleAgentDatagram(s.now(), confirmedAgent, f.Append(nil)))
 	is.True(s.awaits())
 }
@@ -149,3 +162,26 @@
 	e.RecordDecision(director.Decision{Event: director.OwnerUnverified})
 	is.Equal(len(s.confirmWanted), 1)
 }
+
+// TestEncodedFormIsThatOfConfigurationInForce guards against an entry that hands out an older
+// configuration than the one in force: two have come at once, and the encoded form of the older one
+// is kept last.
+func TestEncodedFormIsThatOfConfigurationInForce(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	fetch := func() (int, string) {
+		w := httptest.NewRecorder()
+		s.handler(nil).ServeHTTP(w, httptest.NewRequest(http.MethodGet, configPath, nil))
+		return w.Code, w.Body.String()
+	}
+	older, newer := route.New(8, nil), route.New(9, nil)
+	s.director.SetNextConfig(older, 7)
+	s.director.SetNextConfig(newer, 8)
+	code, _ := fetch() // neither is kept: the one of version 7 is not handed out
+	is.Equal(code, http.StatusNotFound)
+	s.keepEncoded(newer, []byte("newer"))
+	s.keepEncoded(older, []byte("older"))
+	code, body := fetch()
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, "newer")
+}
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -178,7 +178,7 @@
 	if d.sendStage(s, rec, f, f.Stage+1) {
 		return
 	}
-	if f.Uncertain || !d.settled(now, rec.stages) || !d.members.stagesCover(rec.stages, d.holderServices(h.Flow)) {
+	if f.Uncertain || !d.provesNobody(now, h.Flow, rec.stages) {
 		rec.inconclusive = true
 		d.port.RecordDecision(Decision{Event: OwnerUncertain, Flow: h.Flow})
 		return
@@ -276,8 +276,8 @@
 	idle = min(idle+idleSlack, d.lifetime)
 	d.eachShard(func(s *shard) {
 		d.repeatResets(now, s)
-		d.sendQuestions(now, s)
 		d.resetVerified(now, s)
+		d.sendQuestions(now, s)
 		for flow, rec := range s.flows {
 			if now-rec.lastSeen > idle || rec.closed && now-rec.lastSeen > closedRetention {
 				d.forget(s, flow)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -259,10 +259,10 @@
 		buf   []byte // for encoding datagrams
 		// resets are the flows whose resets are sent again, see repeatResets.
 		resets []segment.Flow
-		// questions are the flows whose owners are asked, see sendQuestions.
-		questions []segment.Flow
 		// unverified are the resets that wait for a verification of the configuration.
 		unverified []*unverifiedReset
+		// questions are the flows whose owners are asked, see sendQuestions.
+		questions []segment.Flow
 	}
 
 	// flowRecord is the cached state of a flow.
--- a/pkg/director/search.go
+++ b/pkg/director/search.go
@@ -100,3 +100,9 @@
 func (r *flowRecord) isOf(f *peer.Frame) bool {
 	return f.Round == r.round && f.Stage < len(r.stages) && slices.Equal(f.Candidates, r.stages[f.Stage].agents)
 }
+
+// provesNobody reports whether no agent holds a flow of which all agents of a search have returned
+// a packet.
+func (d *Director) provesNobody(now time.Duration, f segment.Flow, returned []searchStage) bool {
+	return d.settled(now, returned) && d.members.stagesCover(returned, d.holderServices(f))
+}
