--- a/pkg/director/unverified.go
+++ b/pkg/director/unverified.go
@@ -89,7 +89,7 @@
 		}
 		return
 	}
-	if !d.settled(now, u.returned) || !d.members.stagesCover(u.returned, d.holderServices(u.header.Flow)) {
+	if !d.provesNobody(now, u.header.Flow, u.returned) {
 		d.dropUnverified(u)
 		return
 	}
