A removal proves nothing while its test's addresses are in use

The tests of sites in internal/fleet listen at fixed loopback addresses. A second run of them on the machine made TestAgentsThatCannotBeReadAreAwaited fail on the unchanged code ("address already in use" at 127.0.60.1:9402 and 127.0.61.1:9402, in one of 98 removals of a whole run). With the check removed, such a failure would have counted as the expected one: the run now says so.

--- a/test/resets_test.go
+++ b/test/resets_test.go
@@ -24,6 +24,8 @@
 	removalsFile   = "cases/resets/removals.txtar"
 	// removalTimeout is for one run of the test of a removal.
 	removalTimeout = 2 * time.Minute
+	// addressInUse is in the output of a test of a site beside another run of the same test.
+	addressInUse = "address already in use"
 )
 
 // The columns of the table in resetsPage.
@@ -254,7 +256,9 @@
 					t.Fatalf("%s does not pass on the code as it is: %v\n%s", test.name, err, out)
 				}
 				out, err := test.run(changed[test.pkg])
-				if err == nil {
+				if strings.Contains(out, addressInUse) {
+					t.Errorf("another process uses the addresses of %s: run it again", test.name)
+				} else if err == nil {
 					t.Errorf("%s passes without the check", test.name)
 				} else if !strings.Contains(out, "--- FAIL: "+test.name+" ") {
 					t.Errorf("%s has not failed, but the run has: %v\n%s", test.name, err, out)
