--- a/pkg/director/incomplete_search_test.go
+++ b/pkg/director/incomplete_search_test.go
@@ -63,6 +63,8 @@
 				c.during(t, s, &search)
 			}
 			s.sendBack(t, start+c.returned, search)
+			s.MarkVerified(start + c.returned + 1)
+			s.ResetVerified(start + c.returned + 1)
 			is.Equal(len(s.port.resets), c.resets)
 		})
 	}
