A late packet of an ended start resets no flow of another upstream

What callers may see: a reset of a flow that is open at another upstream.

Cause: a crashed upstream's FINs arrive for up to 10 s. The agent adds a flow that it has reset before as accepted, without a number of the upstream. If the caller uses the port again and the flow is open at another upstream, a search passes, as nothing can be compared, and leaves the other upstream's number. When the connection of a probe is refused, the agent resets the flow by that number.

Change: flows whose number is not known are removed without a reset; the caller's next packet decides.

--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -269,13 +269,14 @@
 }
 
 // resetFlows removes the flows that have ended with the upstream's process. For the open ones
-// it sends a reset to the caller.
+// it sends a reset to the caller, unless the upstream's number is not known: a late packet of an
+// ended start adds a flow that may be open at another upstream.
 func (r *Relay) resetFlows(now time.Duration, why Reset, ended func(*flowState) bool) {
 	for _, flow := range r.sortedFlows() {
 		s := r.flows[flow]
 		switch {
 		case !ended(s):
-		case s.phase == accepted:
+		case s.phase == accepted && s.nextKnown:
 			r.resetFlow(now, flow, s, why)
 		default:
 			r.remove(now, flow, s)
