A restored flow in use is not reset on a report alone

What callers may see: a reset of an open flow after a restart of an entry. Cause: an entry asks about restored flows whose callers have sent a packet that it keeps; one whose caller has sent only packets of more than 256 bytes counted as one of which nothing has been heard, and was reset on the report of another start. Change: the evidence of the saved record counts only until the caller's first packet. TestRestoredFlowInUseByLongPacketsIsNotReset failed before (1 reset, want 0).

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -236,8 +236,8 @@
 
 // checkOtherStarts asks the owner of flows whether its upstream holds those that it has not
 // announced with the given start of the upstream, see ask; 0 means that no upstream runs. A
-// restored flow that can't be asked about is reset if it was proven when it was saved. For any
-// other flow, the caller's next packet decides.
+// restored flow that can't be asked about is reset if it was proven when it was saved and its caller
+// has sent nothing since. For any other flow, the caller's next packet decides.
 func (d *Director) checkOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
 	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
@@ -247,7 +247,7 @@
 			case rec.owner != owner || start != 0 && rec.startID == start:
 			case rec.mayAsk():
 				d.ask(now, s, flow, rec, start)
-			case rec.startProven:
+			case rec.startProven && rec.lastSeen == rec.created:
 				proof := OtherStart
 				if start == 0 {
 					proof = NoUpstreamRuns
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -465,3 +465,17 @@
 	base := testing.AllocsPerRun(100, func() { is.NoErr(s.HandleCallerPacket(time.Second, withoutAck)) })
 	is.Equal(testing.AllocsPerRun(100, func() { is.NoErr(s.HandleCallerPacket(time.Second, packet)) }), base)
 }
+
+// TestRestoredFlowInUseByLongPacketsIsNotReset guards against a reset on the report alone of a restored
+// flow whose caller goes on, with packets that are too long to be kept.
+func TestRestoredFlowInUseByLongPacketsIsNotReset(t *testing.T) {
+	is := is.New(t)
+	s := newLateSite(t)
+	owner, flow := s.place.Candidates[0], segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{{Flow: flow, Owner: owner, Start: peer.StartID("u", 5), Acknowledged: 9, Proven: true}})
+	long := request(9, 300)
+	long.Flow = flow
+	is.NoErr(s.HandleCallerPacket(1100*time.Millisecond, platform.EncodePacket(long, false)))
+	s.reportStart(2*time.Second, owner, 2, 6, 1)
+	is.Equal(s.port.resets, 0)
+}
