Log by which configuration an entry decided, and how old its knowledge of it was

Cause: for a flow that a service accepted although a newer configuration did not allow it, the logs do not tell whether the entry lacked the version, knew of it without having it, or took the opening for a copy of an earlier one.

Change: 'placed' and 'placed-again' name the version, its age since the last verification and the entry whose call to the store that was. 'opening-repeated' is new: an opening that follows the recorded owner, with the version under which this entry placed the flow, none if another one has. 'configuration in force' has the age of the last verification of the one before, and the time since another entry first named a newer version. Decisions are unchanged.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -88,6 +88,7 @@
 	watchedVersion uint64            // of the configuration as of revision, 0 if unknown
 	newestHeard    uint64            // newest version that another entry has named
 	newestHeardAt  time.Duration     // when newestHeard was set
+	newerHeardAt   time.Duration     // when another entry first named a newer version than the one in force; 0 if none has
 	unverifiedAt   atomic.Int64      // now() when the last verification became void; 0 at the start
 	newerFrom      chan peer.Addr    // entry from which to fetch a newer configuration
 	holdersPending chan struct{}     // not empty while the flow holders must be written
@@ -133,6 +134,7 @@
 // encoded form, from names its source in the log, previous is the version that it followed, 0
 // if unknown. An older one changes the flow holders only.
 func (c *configSync) putInForce(config *route.Config, raw []byte, from string, previous uint64) {
+	verifiedAgo, _ := c.director.VerifiedAgo(c.now())
 	newer, holdersChanged := c.director.SetNextConfig(config, previous)
 	if newer || holdersChanged {
 		c.requestHoldersWrite()
@@ -142,7 +144,8 @@
 	}
 	c.keepEncoded(config, raw)
 	c.metrics.increment("configurations")
-	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from))
+	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from),
+		zap.Duration("last-verified-ms", verifiedAgo), zap.Duration("heard-ms", c.takeHeard(config.Version())))
 	if config.Unreadable() > 0 {
 		c.metrics.increment("bad-configurations")
 		c.log.Error("routes of the configuration not decoded", zap.Uint64("config", config.Version()), zap.Int("routes", config.Unreadable()))
@@ -151,6 +154,21 @@
 	c.onChange()
 }
 
+// takeHeard returns the time since another entry first named a newer version than the one that
+// was in force until now, 0 if none has.
+func (c *configSync) takeHeard(version uint64) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := c.newerHeardAt
+	if at == 0 {
+		return 0
+	}
+	if c.newerHeardAt = 0; c.newestHeard > version {
+		c.newerHeardAt = c.newestHeardAt
+	}
+	return c.now() - at
+}
+
 // keepEncoded keeps the encoded form of a configuration for other entries, unless a newer one has
 // come into force since.
 func (c *configSync) keepEncoded(config *route.Config, raw []byte) {
@@ -346,11 +364,14 @@
 	if hello.ConfigVersion > 0 && (hello.ConfigVersion >= c.newestHeard || expired) {
 		c.newestHeard, c.newestHeardAt = hello.ConfigVersion, c.now()
 	}
+	if config != nil && hello.ConfigVersion > config.Version() && c.newerHeardAt == 0 {
+		c.newerHeardAt = c.now()
+	}
 	c.mu.Unlock()
 	// A verification in an ended era says nothing about the present one.
 	sameEra := hello.StoreEra >= c.store.Era()
 	if config != nil && config.Version() == hello.ConfigVersion && hello.VerifiedAgo >= 0 && hello.VerifiedAgo <= maxVerifiedAgo && sameEra {
-		c.director.MarkVerifiedElsewhere(c.now() - time.Duration(hello.VerifiedAgo)*time.Millisecond - maxHelloLatency)
+		c.director.MarkVerifiedElsewhere(c.now()-time.Duration(hello.VerifiedAgo)*time.Millisecond-maxHelloLatency, from)
 	}
 	if !c.evacuations.known() || hello.ConfigVersion == 0 || config != nil && config.Version() >= hello.ConfigVersion {
 		return
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -21,7 +21,7 @@
 const (
 	// maxDecisionFields is the largest number of fields in the log line of a
 	// decision.
-	maxDecisionFields = 9
+	maxDecisionFields = 11
 	// minLoggedPause is the time between two ticks from which the entry logs that it was paused,
 	// as by a suspended or overloaded machine.
 	minLoggedPause = 500 * time.Millisecond
@@ -215,6 +215,9 @@
 	if d.Version != 0 {
 		fields = append(fields, zap.Uint64("config", d.Version))
 	}
+	if d.VerifiedBy != (peer.Addr{}) {
+		fields = append(fields, zap.Duration("verified-ms", d.VerifiedAgo), zap.Stringer("verified-by", d.VerifiedBy))
+	}
 	if d.Stage != 0 {
 		fields = append(fields, zap.Int("stage", d.Stage))
 	}
--- a/pkg/director/config_test.go
+++ b/pkg/director/config_test.go
@@ -104,7 +104,7 @@
 	d.MarkVerified(9900 * time.Millisecond)
 	send(10 * time.Second)
 	check(10100*time.Millisecond, 0) // verified before the packet arrived
-	d.MarkVerifiedElsewhere(10200 * time.Millisecond)
+	d.MarkVerifiedElsewhere(10200*time.Millisecond, peer.Addr{10, 0, 0, 2})
 	check(10300*time.Millisecond, 0) // the message may have been under way for long
 	d.MarkVerified(10250 * time.Millisecond)
 	check(10400*time.Millisecond, 1)
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -111,6 +111,9 @@
 	// OwnerAsked means that the owner of a flow was asked whether its upstream holds it, as it has
 	// reported another start of the upstream, or none.
 	OwnerAsked Event = "owner-asked"
+	// OpeningRepeated means that an opening was sent to the recorded owner of its flow as a copy
+	// of the one with which the flow was opened.
+	OpeningRepeated Event = "opening-repeated"
 	// HeldDelivered means that packets were sent that had been held for an agent while it
 	// restarted, or until maxAbsence had passed.
 	HeldDelivered Event = "held-packets-delivered"
@@ -198,9 +201,15 @@
 		// Searching.
 		Load float64
 		Age  time.Duration
-		// Version is the version of the configuration in force, for Placed and for
-		// resets.
+		// Version is the version of the configuration in force, for Placed, PlacedAgain and
+		// resets. For OpeningRepeated it is the one under which this entry has placed the flow, 0
+		// if it has not.
 		Version uint64
+		// VerifiedAgo is the time since the configuration was verified to be the newest one, and
+		// VerifiedBy the entry that called the store for that: both for Placed and PlacedAgain, and
+		// zero if it never was.
+		VerifiedAgo time.Duration
+		VerifiedBy  peer.Addr
 		// Stage is the stage of an opening that was placed again.
 		Stage int
 		// Tried is the number of candidates on the list that was returned without
@@ -231,6 +240,12 @@
 		Through uint64
 	}
 
+	// verification is a call to the store by which the configuration in force was the newest one.
+	verification struct {
+		at time.Duration
+		by peer.Addr // the entry that made the call
+	}
+
 	// Director holds the routing state of one entry.
 	Director struct {
 		self       peer.Addr
@@ -240,8 +255,8 @@
 		lifetime   time.Duration
 		configMu   sync.Mutex
 		config     atomic.Pointer[route.Config]
-		verified   atomic.Int64 // time of the last verification against the store, in ns; 0 if none
-		confirmed  atomic.Int64 // the same of the last one by a read of this entry
+		verified   atomic.Pointer[verification] // the last one against the store; nil if none
+		confirmed  atomic.Int64                 // time of the last one by a call of this entry, in ns; 0 if none
 		members    *members
 		history    history
 		absences   absences
@@ -290,7 +305,8 @@
 		openingAt    time.Duration    // when the caller sent the opening that was placed
 		copies       uint32           // number of the last copy of that opening
 		link         capacity.Flow    // account of the flow's bytes, unused without a Link
-		placed       bool             // openedBy is set
+		placed       bool             // openedBy and version are set
+		version      uint64           // of the configuration under which it was placed
 		openedBy     uint32           // sequence number of the opening that was placed
 	}
 
@@ -399,32 +415,47 @@
 // MarkVerified records that the configuration in force is that of a call to the store which this
 // entry began at the given time: no flow was placed under a newer one before.
 func (d *Director) MarkVerified(at time.Duration) {
-	raise(&d.confirmed, at)
-	raise(&d.verified, at)
+	for old := d.confirmed.Load(); int64(at) > old && !d.confirmed.CompareAndSwap(old, int64(at)); old = d.confirmed.Load() {
+	}
+	d.recordVerification(verification{at: at, by: d.self})
 }
 
 // MarkVerifiedElsewhere records that the configuration was the newest one at about the given time,
 // according to another entry. The message may have been under way for longer than assumed, so that
 // no reset rests on this.
-func (d *Director) MarkVerifiedElsewhere(at time.Duration) { raise(&d.verified, at) }
+func (d *Director) MarkVerifiedElsewhere(at time.Duration, by peer.Addr) {
+	d.recordVerification(verification{at: at, by: by})
+}
 
-// raise stores a time unless a later one is stored.
-func raise(stored *atomic.Int64, at time.Duration) {
-	for old := stored.Load(); int64(at) > old && !stored.CompareAndSwap(old, int64(at)); old = stored.Load() {
+// recordVerification stores a verification unless a later one is stored.
+func (d *Director) recordVerification(v verification) {
+	for old := d.verified.Load(); (old == nil || v.at > old.at) && !d.verified.CompareAndSwap(old, &v); old = d.verified.Load() {
 	}
 }
 
 // MarkUnverified records that it is not known whether the configuration is the newest one.
 func (d *Director) MarkUnverified() {
 	d.confirmed.Store(0)
-	d.verified.Store(0)
+	d.verified.Store(nil)
 }
 
 // VerifiedAgo returns the time since the configuration was last verified to be the
 // newest, and false if it never was.
 func (d *Director) VerifiedAgo(now time.Duration) (time.Duration, bool) {
-	at := time.Duration(d.verified.Load())
-	return now - at, at != 0
+	if v := d.verified.Load(); v != nil {
+		return now - v.at, true
+	}
+	return 0, false
+}
+
+// recordPlacement records a decision to offer a flow to agents, to which it adds the configuration
+// on which it rests.
+func (d *Director) recordPlacement(now time.Duration, why Decision) {
+	why.Version = d.config.Load().Version()
+	if v := d.verified.Load(); v != nil {
+		why.VerifiedAgo, why.VerifiedBy = now-v.at, v.by
+	}
+	d.port.RecordDecision(why)
 }
 
 // Config returns the configuration in force, nil before the first.
@@ -503,8 +534,8 @@
 
 // ConfigCurrent reports whether the configuration was verified within maxConfigAge.
 func (d *Director) ConfigCurrent(now time.Duration) bool {
-	at := time.Duration(d.verified.Load())
-	return at != 0 && now-at <= maxConfigAge
+	ago, ok := d.VerifiedAgo(now)
+	return ok && ago <= maxConfigAge
 }
 
 // handleEstablished handles a packet that does not open a flow. It sends the packet
--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -48,6 +48,7 @@
 	if isCopy && d.members.usable(now, rec.owner) {
 		rec.lastSeen, rec.copies = now, max(rec.copies, h.Acknowledged)
 		d.accountOpening(now, rec, h, rec.closed, len(packet)) // the caller uses the port of a closed flow again
+		d.port.RecordDecision(Decision{Event: OpeningRepeated, Flow: h.Flow, Agent: rec.owner, Version: rec.version})
 		d.deliver(s, rec, packet)
 		return
 	}
@@ -105,12 +106,12 @@
 		d.refuseOpening(now, service, h)
 		return
 	}
-	rec := &flowRecord{owner: list[0], service: service, placed: true, openedBy: h.Sequence, lastSeen: now, created: now, openingAt: openingSent(now, h), copies: h.Acknowledged}
+	rec := &flowRecord{owner: list[0], service: service, placed: true, openedBy: h.Sequence, version: d.config.Load().Version(), lastSeen: now, created: now, openingAt: openingSent(now, h), copies: h.Acknowledged}
 	if old := s.flows[h.Flow]; old != nil {
 		rec.link = old.link
 	}
 	s.flows[h.Flow] = rec
-	d.port.RecordDecision(Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age, Version: d.config.Load().Version()})
+	d.recordPlacement(now, Decision{Event: Placed, Flow: h.Flow, Agent: list[0], Load: load, Age: age})
 	d.send(s, list[0], &peer.Frame{Kind: peer.Place, Entry: d.self, Service: service, Candidates: list, Stage: chosenStage, Packet: packet})
 }
 
@@ -142,7 +143,7 @@
 		next.Kind, next.Entry, next.Stage, next.Packet = peer.Place, d.self, stage, f.Packet
 		rec.owner, rec.service, rec.lastSeen, rec.created = next.Candidates[0], next.Service, now, now
 		s.flows[h.Flow] = rec
-		d.port.RecordDecision(Decision{Event: PlacedAgain, Flow: h.Flow, Agent: rec.owner, Stage: stage, Tried: len(f.Candidates)})
+		d.recordPlacement(now, Decision{Event: PlacedAgain, Flow: h.Flow, Agent: rec.owner, Stage: stage, Tried: len(f.Candidates)})
 		d.send(s, rec.owner, &next)
 		return
 	}
--- a/pkg/director/search_test.go
+++ b/pkg/director/search_test.go
@@ -155,7 +155,7 @@
 	is.True(s.awaits())
 	s.verify(2999*time.Millisecond, 3010*time.Millisecond) // began before the packet arrived
 	is.Equal(s.port.resets, 0)
-	s.MarkVerifiedElsewhere(3010 * time.Millisecond) // a message may have been under way for long
+	s.MarkVerifiedElsewhere(3010*time.Millisecond, peer.Addr{10, 0, 0, 2}) // a message may have been under way for long
 	s.ResetVerified(3020 * time.Millisecond)
 	is.Equal(s.port.resets, 0)
 	s.verify(3001*time.Millisecond, 3030*time.Millisecond)
