Lines about flows leave room in the log for what a process believes

Cause: at a multiple of the usual traffic the queue of log lines is full, and 'configuration in force' is dropped like any other line.

Change: from 1,792 of 2,048 queued lines on, those about a flow are dropped and counted; the others use the rest.

Measured: TestFlowLinesLeaveRoom fails without the change and passes with it.

--- a/internal/daemon/log_writer.go
+++ b/internal/daemon/log_writer.go
@@ -17,6 +17,9 @@
 	// maxQueuedLines bounds the log lines that are queued while the reader of the
 	// log is slow; at 300 bytes per line they take 600 KB.
 	maxQueuedLines = 2048
+	// maxQueuedFlowLines is the number of queued lines from which those about a flow are dropped:
+	// what a process believes, such as its configuration, is logged rarely and explains them.
+	maxQueuedFlowLines = maxQueuedLines - 256
 	// batchBytes is the size from which no more lines are added to a write; the
 	// buffer of a pipe holds 64 KiB.
 	batchBytes = 32 << 10
@@ -25,6 +28,9 @@
 	flushInterval = 100 * time.Millisecond
 )
 
+// flowField begins the field of a line about a flow.
+var flowField = []byte(`"flow":`)
+
 // TimeLayout is the layout of the times in log lines, that of
 // zapcore.ISO8601TimeEncoder. The zone is the local one, "Z" for UTC.
 const TimeLayout = "2006-01-02T15:04:05.000Z0700"
@@ -62,8 +68,13 @@
 	return l
 }
 
-// Write queues one line, or drops it if the queue is full. It never fails.
+// Write queues one line, or drops it if the queue is full, for a line about a flow before that. It
+// never fails.
 func (l *LogWriter) Write(b []byte) (int, error) {
+	if len(l.queue) >= maxQueuedFlowLines && bytes.Contains(b, flowField) {
+		l.dropped.Add(1)
+		return len(b), nil
+	}
 	select {
 	case l.queue <- append([]byte(nil), b...):
 	default:
--- a/internal/daemon/log_writer_test.go
+++ b/internal/daemon/log_writer_test.go
@@ -42,6 +42,27 @@
 	is.NoErr(<-writer.Done())
 }
 
+// TestFlowLinesLeaveRoom guards against a flood of lines about flows that displaces the line of a
+// new configuration, without which the log does not tell by which version flows were placed.
+func TestFlowLinesLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	w := blockedWriter{release: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	writer := daemon.NewLogWriter(ctx, w)
+	write := func(line string) (dropped int64) {
+		before := writer.Dropped()
+		_, err := writer.Write([]byte(line))
+		is.NoErr(err)
+		return writer.Dropped() - before
+	}
+	for write(`{"msg":"placed","flow":"100.64.0.7:40001>198.18.0.1:443"}`+"\n") == 0 {
+	}
+	is.Equal(write(`{"msg":"configuration in force","config":7}`+"\n"), int64(0))
+	cancel()
+	close(w.release)
+	is.NoErr(<-writer.Done())
+}
+
 // TestAsyncLoggerSamplesAndFlushes checks that sampling bounds the log under load, that
 // each line is written, sampled or dropped, and that queued lines are written at the
 // end.
