The soak judges by which configuration openings are handled

Cause: the soak gave the processes a time limit for a configuration and checked nothing by it.

Change: the soak records when the store has acknowledged each version, when and through which entry each copy of an opening was sent, and which service took it. It fails if an opening that was sent more than 3 s after the acknowledgement is handled as only an older version allows (run by the service before, by a dropped route, or refused although the route is there), by processes without a disturbance in the 4 s before; and if an entry handles one as only an older version allows more than 250 ms after it has shown a newer one, in one lifetime. Moves now go on to the end of the run, some of them for longer than the limit, and each configuration has a VIP of its own, so that an opening tells its version. Copies of openings are numbered as on the platform.

--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -66,6 +66,7 @@
 
 	// callerFlow is a flow that a caller keeps open.
 	callerFlow struct {
+		opening  *openingCopies
 		flow     segment.Flow
 		inbox    chan arrival
 		seq, ack uint32 // next sequence numbers of the caller and of the upstream
@@ -115,7 +116,7 @@
 			f = nil
 		}
 		if f == nil {
-			f, ok = c.open()
+			f, ok = c.open(vip)
 		}
 		c.increment(&c.requests)
 		if ok {
@@ -164,12 +165,12 @@
 	return h.Has(segment.Reset) && (f.ack == 0 || far >= -resetWindow && far <= resetWindow)
 }
 
-// open opens a flow from the next port. It returns false if that fails.
-func (c *callers) open() (*callerFlow, bool) {
+// open opens a flow to a VIP from the next port. It returns false if that fails.
+func (c *callers) open(to netip.AddrPort) (*callerFlow, bool) {
 	c.mu.Lock()
 	c.lastPort++
-	flow := segment.NewFlow(netip.AddrPortFrom(c.site.host(callerHost), c.lastPort), vip)
-	f := &callerFlow{flow: flow, inbox: make(chan arrival, inboxSize), seq: uint32(c.lastPort) << 12}
+	flow := segment.NewFlow(netip.AddrPortFrom(c.site.host(callerHost), c.lastPort), to)
+	f := &callerFlow{flow: flow, inbox: make(chan arrival, inboxSize), seq: uint32(c.lastPort) << 12, opening: c.site.openings.add(flow)}
 	c.inboxes[flow] = f.inbox
 	if c.firstFlow == (segment.Flow{}) {
 		c.firstFlow = flow
@@ -180,6 +181,11 @@
 	})
 	f.seq++
 	f.isn, f.ack = h.Sequence, h.Sequence+1
+	if h.Has(segment.Reset) {
+		if o, sent := f.opening.copy(0); sent && len(f.opening.sent) == 1 {
+			c.site.judge.refused(o, time.Now())
+		}
+	}
 	return f, ok
 }
 
@@ -194,13 +200,16 @@
 }
 
 // exchange sends a packet, and retransmits it, until accepts returns true for a
-// received packet, which it returns. It returns false if the flow is reset,
-// exchangeTimeout passes or the packet cannot be sent.
+// received packet, which it returns. The copies of an opening are numbered. It returns false if
+// the flow is reset, with that packet, if exchangeTimeout passes or the packet cannot be sent.
 func (c *callers) exchange(f *callerFlow, h segment.Header, accepts func(segment.Header) bool) (segment.Header, bool) {
-	b := platform.EncodePacket(h, false)
 	end := time.After(exchangeTimeout)
 	for {
 		if to, ok := c.site.routeFlow(f.flow); ok {
+			if h.Opens() {
+				h.Acknowledged = f.opening.record(opening{vip: f.flow.VIP(), sent: time.Now(), entry: to.Addr(), name: f.flow.String()})
+			}
+			b := platform.EncodePacket(h, false)
 			if _, err := c.conn.WriteToUDPAddrPort(b, to); err != nil {
 				return segment.Header{}, false
 			}
--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -116,6 +116,7 @@
 
 // replace is restart with the lock of restarts held.
 func (u *upstream) replace(down, silent time.Duration) {
+	defer u.disturb()()
 	u.mu.Lock()
 	u.down, u.flows, u.delayed = true, make(map[segment.Flow]*heldFlow), nil
 	u.mu.Unlock()
@@ -146,6 +147,7 @@
 func (u *upstream) leave(drain, down, silent time.Duration) {
 	u.restarts.Lock()
 	defer u.restarts.Unlock()
+	defer u.disturb()()
 	u.drain()
 	time.Sleep(drain)
 	u.callAgent(http.MethodDelete, u.currentID(), "")
--- a/internal/fleetdemo/moves.go
+++ b/internal/fleetdemo/moves.go
@@ -1,9 +1,11 @@
 package fleetdemo
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -19,8 +21,19 @@
 	// between the two changes of one.
 	maxMovePause = 2 * time.Second
 	maxMoveGap   = 400 * time.Millisecond
+	// stayShare is the part of the moves after which the route stays for longer than configBound,
+	// by up to maxStay, so that an entry with an old configuration shows.
+	stayShare = 0.4
+	maxStay   = 1500 * time.Millisecond
 	// maxVersionStep is the largest step from one version of the configuration to the next.
 	maxVersionStep = 4
+	// Each configuration has the markers of the last markerVersions: VIPs that no other one has, so
+	// that an opening shows which versions an entry may have.
+	markerVersions  = 2
+	firstMarkerPort = 2000
+	markerPorts     = 50000
+	// markerInterval is the time between two openings to markers.
+	markerInterval = 60 * time.Millisecond
 )
 
 // operatorConfig is the configuration that the operator has written last.
@@ -28,6 +41,12 @@
 	mu      sync.Mutex
 	version uint64
 	encoded []byte
+	written int // number of configurations
+}
+
+// markerOf returns the marker of the configuration with a number.
+func markerOf(n int) netip.AddrPort {
+	return netip.AddrPortFrom(vip.Addr().Next(), uint16(firstMarkerPort+n%markerPorts))
 }
 
 // setRoute writes a configuration whose version is larger by step and that sends the new flows
@@ -36,14 +55,24 @@
 	c := &s.operatorConfig
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	encoded, err := json.Marshal(map[string]any{"version": c.version + step, "routes": []map[string]any{
-		{"name": service, "host": vip.Addr().String(), "prefix": fmt.Sprintf("/%d/", vip.Port()), "service": to},
-	}})
+	routes := map[netip.AddrPort]string{vip: to}
+	if s.moves {
+		for n := max(0, c.written+1-markerVersions); n <= c.written; n++ {
+			routes[markerOf(n)] = service
+		}
+	}
+	var docs []map[string]any
+	for v, to := range routes {
+		docs = append(docs, map[string]any{"name": v.String(), "host": v.Addr().String(), "prefix": fmt.Sprintf("/%d/", v.Port()), "service": to})
+	}
+	encoded, err := json.Marshal(map[string]any{"version": c.version + step, "routes": docs})
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
-	c.version, c.encoded = c.version+step, encoded
+	c.version, c.encoded, c.written = c.version+step, encoded, c.written+1
+	s.judge.announce(c.version, routes)
 	s.store.Set(platform.ConfigKey, encoded)
+	s.judge.acknowledge(time.Now())
 	return nil
 }
 
@@ -55,20 +84,47 @@
 	s.store.Set(platform.ConfigKey, c.encoded)
 }
 
-// moveRouteUntil moves the route to otherService and back at random times. In between, entries
-// place flows that they must find afterwards.
-func (k *soak) moveRouteUntil(end time.Time, random *rand.Rand) error {
+// moveRoute moves the route to otherService and back at random times until the context ends. It
+// moves back in quick succession, so that entries place flows that they must find afterwards, or
+// lets the route stay for longer than configBound.
+func (k *soak) moveRoute(ctx context.Context, random *rand.Rand) error {
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
-	for time.Now().Before(end) {
-		time.Sleep(below(maxMovePause))
+	for sleep(ctx, below(maxMovePause)) == nil {
 		gap := below(maxMoveGap)
+		if random.Float64() < stayShare {
+			gap = configBound + below(maxStay)
+		}
 		k.announceFault(fmt.Sprintf("the route moves to %s, and after %s back", otherService, gap))
 		for _, to := range []string{otherService, service} {
 			if err := k.site.setRoute(to, 1+random.Uint64N(maxVersionStep)); err != nil {
 				return err
 			}
-			time.Sleep(gap)
+			if sleep(ctx, gap) != nil {
+				return nil
+			}
 		}
 	}
 	return nil
 }
+
+// openMarkers opens flows to the markers of the last configurations, and of one that has just
+// been dropped, until the context ends.
+func (k *soak) openMarkers(ctx context.Context, random *rand.Rand) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for sleep(ctx, markerInterval) == nil {
+		c := &k.site.operatorConfig
+		c.mu.Lock()
+		n := c.written - 1 - random.IntN(markerVersions+1)
+		c.mu.Unlock()
+		if n < 0 {
+			continue
+		}
+		running.Go(func() {
+			if f, ok := k.callers.open(markerOf(n)); ok {
+				k.callers.request(f)
+			}
+		})
+	}
+	return nil
+}
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -63,6 +63,10 @@
 		// Repeated counts the times that an upstream ran a request that had run before. Callers
 		// send each request on one flow only.
 		Repeated int `json:"repeated"`
+		// Judged counts the openings whose configuration was judged, Outdated those that were
+		// handled by one that is too old, see configJudge.
+		Judged   int `json:"judged"`
+		Outdated int `json:"outdated"`
 		// FirstFlow is the flow that was opened first, in the form of the logs.
 		FirstFlow string `json:"first-flow"`
 		// StoreCalls counts the calls to the store by the first segment of their
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -88,6 +88,8 @@
 
 		evacuation     evacuation
 		operatorConfig operatorConfig
+		// judge judges by which configuration openings were handled.
+		judge configJudge
 		// moves is set if the route moves between services during the run.
 		moves bool
 		// flaps and lateHeartbeats are those of SoakConfig, heartbeats is the interval of the
@@ -103,6 +105,7 @@
 		upstreams []*upstream
 
 		requests  requestLog
+		openings  openings
 		incidents incidents
 	}
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -50,8 +51,8 @@
 		// Evacuations requests the evacuation of a failure domain, with every second
 		// upstream, and withdraws it at random times.
 		Evacuations bool
-		// Moves moves the route to another service, that of every second upstream, and back in
-		// quick succession at random times. The version rises in uneven steps.
+		// Moves moves the route to another service, that of every second upstream, and back at
+		// random times, also after the last fault. The version rises in uneven steps.
 		Moves bool
 		// Flaps restarts upstreams in quick succession, under a new id each time, and makes
 		// them slow, while entries and agents restart in turn or together, and agents are paused
@@ -72,6 +73,8 @@
 		program, role, settingsPath string
 		settings                    map[string]any // written to settingsPath at each start
 		proxy                       *proxy         // between the process and the store
+		judge                       *configJudge
+		address                     netip.Addr
 		log                         *os.File
 
 		mu      sync.Mutex
@@ -92,7 +95,8 @@
 // while callers keep their flows open: it stops, pauses, reloads and kills the
 // processes, crashes upstreams or makes them reset their flows, and injects faults
 // into the store and into the connections to it. It returns an error if a flow was
-// reset while its upstream was running, if one was opened in an evacuated failure domain, if a
+// reset while its upstream was running, if one was opened in an evacuated failure domain, if an
+// opening was handled by an older configuration than configJudge allows, if a
 // request ran more than once, or if requests were lost after the settle time: then it also prints
 // what the logs tell of the first of these flows. With any error, the logs of the processes stay
 // in the directory that the error names.
@@ -122,10 +126,17 @@
 	s.startProcess = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
 	}
+	k.timeline.onPause = func() { s.judge.disturb(storeMachine, time.Now()) }
 	defer k.cleanUp()
 	if err := k.start(ctx); err != nil {
 		return Report{}, err
 	}
+	moveCtx, stopMoves := context.WithCancel(ctx)
+	defer stopMoves()
+	if c.Moves {
+		k.startTask(func() error { return k.moveRoute(moveCtx, rand.New(rand.NewPCG(c.Seed, 4))) })
+		k.startTask(func() error { return k.openMarkers(moveCtx, rand.New(rand.NewPCG(c.Seed, 5))) })
+	}
 	if err := k.injectFaults(ctx, c); err != nil {
 		return Report{}, err
 	}
@@ -138,13 +149,20 @@
 		return Report{}, err
 	}
 	lost := k.callers.report().Lost - before.Lost
+	stopMoves()
 	if report, err = k.stop(); err != nil {
 		return report, err
 	}
 	var failure error
+	var outdated []string
+	outdated, report.Judged = k.site.judge.result()
+	report.Outdated = len(outdated)
+	if report.Outdated > 0 {
+		failure = errors.Errorf("seed %d: %d openings handled by an older configuration\n%s", c.Seed, report.Outdated, strings.Join(outdated, "\n"))
+	}
 	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.Repeated > 0 || lost > 0 {
-		failure = errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
-			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n"))
+		failure = errors.Join(failure, errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
+			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n")))
 		failure = errors.Join(failure, writeEvidence(c.Out, dir, k.site.incidents.first(), k.timeline.faults()))
 	}
 	if c.HTMLReport != nil {
@@ -155,19 +173,10 @@
 
 // injectFaults starts random faults for the duration in c, some of which overlap,
 // and waits for their end.
-func (k *soak) injectFaults(ctx context.Context, c SoakConfig) (err error) {
+func (k *soak) injectFaults(ctx context.Context, c SoakConfig) error {
 	end := time.Now().Add(c.Duration)
 	var running sync.WaitGroup
-	moved := make(chan error, 1)
-	defer func() {
-		running.Wait()
-		err = errors.Join(err, <-moved)
-	}()
-	if c.Moves {
-		go func() { moved <- k.moveRouteUntil(end, rand.New(rand.NewPCG(c.Seed, 4))) }()
-	} else {
-		moved <- nil
-	}
+	defer running.Wait()
 	if c.StoreRestores {
 		running.Go(func() { k.restoreStoreUntil(end, rand.New(rand.NewPCG(c.Seed, 2))) })
 	}
@@ -202,6 +211,7 @@
 		time.Sleep(below(maxRestorePause))
 		age := below(maxCopyAge)
 		k.announceFault(fmt.Sprintf("the store comes back from a copy %s old", age))
+		k.site.judge.beginDisturbance(storeMachine)
 		k.site.store.SetFault(kvstandin.ResetConnections)
 		time.Sleep(below(maxStoreAway))
 		k.site.store.RestoreCopy(age)
@@ -209,6 +219,7 @@
 		time.Sleep(below(operatorRepeat))
 		k.site.repeatConfig()
 		k.site.repeatEvacuation()
+		k.site.judge.endDisturbance(storeMachine, time.Now())
 	}
 }
 
@@ -235,19 +246,24 @@
 	case 4:
 		fault := []kvstandin.Fault{kvstandin.Busy, kvstandin.LoseResponses, kvstandin.ResetConnections, kvstandin.Unresponsive}[k.random.IntN(4)]
 		return fmt.Sprintf("the store has fault %d for %s", fault, duration), func() {
+			k.site.judge.beginDisturbance(storeMachine)
 			k.site.store.SetFault(fault)
 			time.Sleep(duration)
 			k.site.store.SetFault(kvstandin.Healthy)
+			k.site.judge.endDisturbance(storeMachine, time.Now())
 		}
 	case 6, 7:
 		fault := 1 + proxyFault(k.random.IntN(int(proxyFaultCount)-1))
 		return fmt.Sprintf("connections of %s to the store have fault %d for %s", c.name(), fault, duration), func() {
+			c.judge.beginDisturbance(c.address)
 			c.proxy.setFault(fault)
 			time.Sleep(duration)
 			c.proxy.setFault(noFault)
+			c.judge.endDisturbance(c.address, time.Now())
 		}
 	case 8:
 		return fmt.Sprintf("connections of %s to the store are reset, upstream %s crashes for %s", c.name(), u.name, duration), func() {
+			c.judge.disturb(c.address, time.Now())
 			c.proxy.resetConns()
 			u.crash(duration)
 		}
@@ -295,7 +311,7 @@
 		"platform":  map[string]any{"address": p.address(), "ttl-min-ms": s.LeaseMin.Milliseconds()},
 		"bootstrap": s.FirstStart,
 	}
-	c := &child{program: program, role: role, settingsPath: path, settings: doc, proxy: p, log: log, done: make(chan error, 1)}
+	c := &child{program: program, role: role, settingsPath: path, settings: doc, proxy: p, judge: &k.site.judge, address: s.Address, log: log, done: make(chan error, 1)}
 	if err := c.exec(); err != nil {
 		return nil, err
 	}
@@ -322,6 +338,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start process")
 	}
+	c.judge.startProcess(c.address, time.Now())
 	c.cmd = cmd
 	return nil
 }
@@ -350,6 +367,14 @@
 func (c *child) signal(s syscall.Signal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch s {
+	case syscall.SIGSTOP:
+		c.judge.beginDisturbance(c.address)
+	case syscall.SIGCONT:
+		c.judge.endDisturbance(c.address, time.Now())
+	case syscall.SIGTERM, syscall.SIGKILL:
+		c.judge.disturb(c.address, time.Now())
+	}
 	// Fails if the process has just ended. Its successor needs no signal.
 	_ = c.cmd.Process.Signal(s)
 }
--- a/internal/fleetdemo/timeline.go
+++ b/internal/fleetdemo/timeline.go
@@ -33,6 +33,7 @@
 		begin   time.Time
 		samples []sample
 		marks   []faultMark
+		onPause func() // is called after a pause of this process, nil if nobody needs to know
 	}
 
 	// sample is the state of a run at one moment.
@@ -98,6 +99,9 @@
 func (t *timeline) recordDelay(d time.Duration) {
 	if d > maxSampleDelay {
 		t.addFault(fmt.Sprintf("the soak itself was paused, for up to %s", d))
+		if t.onPause != nil {
+			t.onPause()
+		}
 	}
 }
 
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -232,6 +232,7 @@
 // crash drops the upstream's flows and starts it again after the time down, with the same id
 // and without failing health checks, unless upstreams flap. It returns after the restart.
 func (u *upstream) crash(down time.Duration) {
+	defer u.disturb()()
 	if u.site.flaps {
 		u.restart(down, 0)
 		return
@@ -251,11 +252,19 @@
 // fail makes the upstream reset each of its flows at the next request, for the
 // given time.
 func (u *upstream) fail(d time.Duration) {
+	defer u.disturb()()
 	u.setFailing(true)
 	time.Sleep(d)
 	u.setFailing(false)
 }
 
+// disturb records that the upstreams of the site are disturbed until the returned function is
+// called.
+func (u *upstream) disturb() (end func()) {
+	u.site.judge.beginDisturbance(anyUpstream)
+	return func() { u.site.judge.endDisturbance(anyUpstream, time.Now()) }
+}
+
 func (u *upstream) setFailing(failing bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -321,6 +330,7 @@
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
 		u.site.checkOpening(u.settings.FailureDomain)
+		u.site.judgeOpening(h, u.settings.Service, u.settings.Address)
 		fallthrough
 	case h.Opens():
 		return u.packet(h.Flow, segment.Open|segment.Ack, f.isn, f.wantSeq, 0), nil
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -20,7 +20,9 @@
 for the store fails, and a proxy delays the connections to it, resets them, or
 stalls one or both directions. Exit code 1 if a flow was reset although its
 upstream was alive, if one was opened in an evacuated failure domain later than
-5 s after the request, if a request ran more than once, or if requests are lost
+5 s after the request, if an opening was handled by a configuration that is older than
+the one that the store had acknowledged 3 s before, or older than one that its entry has
+had in force, if a request ran more than once, or if requests are lost
 after the last fault has settled; then the logs of the processes are kept, and what
 they tell of the first of these flows is printed.
 
@@ -30,7 +32,7 @@
   -evacuations   requests the evacuation of a failure domain, with every second
                  upstream, and withdraws it every few seconds
   -moves         moves the route to another service, that of every second upstream,
-                 and back in quick succession every second or so
+                 and back in quick succession or after some seconds, until the end
   -flaps         upstreams flap, each start under a new id, and turn slow, while entries
                  and agents restart in turn or together, and agents are paused over a
                  restart of their upstream; callers pause between requests
@@ -120,5 +122,6 @@
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
 		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken},
 		{"requests that ran again", report.Repeated}, {"flows opened in an evacuated domain", report.OpenedWhileEvacuated},
+		{"openings judged by their configuration", report.Judged}, {"of them by one that is too old", report.Outdated},
 	}))
 }
