--- a/internal/fleetdemo/config_judge.go
+++ b/internal/fleetdemo/config_judge.go
@@ -20,7 +20,7 @@
 	// stableWindow is how long a process must have run without a disturbance to be judged by
 	// configBound. That of the platform is part of the settings, too.
 	stableWindow = 4 * time.Second
-	// maxConfigFailures bounds the texts of a run.
+	// maxConfigFailures bounds the failures of a run.
 	maxConfigFailures = 20
 )
 
@@ -40,7 +40,7 @@
 		mu       sync.Mutex
 		versions []knownVersion
 		machines map[netip.Addr]*machineState
-		failures []string
+		failures []incident
 		judged   int // openings
 	}
 
@@ -192,12 +192,12 @@
 		}
 	}
 	if newest < 0 {
-		j.fail("opening of flow %s, sent at %s through entry %s, was %s, which no version allows", o.name, o.sent.Format(timeFormat), o.entry, how)
+		j.fail(o, at, "opening of flow %s, sent at %s through entry %s, was %s, which no version allows", o.name, o.sent.Format(timeFormat), o.entry, how)
 		return
 	}
 	calm := j.isCalm(o.sent, append(others, o.entry, storeMachine)...)
 	if r := j.required(o.sent); calm && newest < r {
-		j.fail("opening of flow %s, sent at %s through entry %s, was %s: handled by version %d or older; version %d was acknowledged %s before",
+		j.fail(o, at, "opening of flow %s, sent at %s through entry %s, was %s: handled by version %d or older; version %d was acknowledged %s before",
 			o.name, o.sent.Format(timeFormat), o.entry, how, j.versions[newest].version, j.versions[r].version, o.sent.Sub(j.versions[r].acked).Round(time.Millisecond))
 	}
 	slack := rollbackSlack
@@ -207,7 +207,7 @@
 	entry := j.machine(o.entry)
 	for _, e := range entry.effects {
 		if newest < e.index && o.sent.Sub(e.at) > slack {
-			j.fail("opening of flow %s, sent at %s through entry %s, was %s: handled by version %d or older; the entry had version %d in force %s before",
+			j.fail(o, at, "opening of flow %s, sent at %s through entry %s, was %s: handled by version %d or older; the entry had version %d in force %s before",
 				o.name, o.sent.Format(timeFormat), o.entry, how, j.versions[newest].version, j.versions[e.index].version, o.sent.Sub(e.at).Round(time.Millisecond))
 			break
 		}
@@ -217,15 +217,15 @@
 	}
 }
 
-// fail records a failure. The caller holds the lock.
-func (j *configJudge) fail(format string, args ...any) {
+// fail records a failure about an opening that was handled at a time. The caller holds the lock.
+func (j *configJudge) fail(o opening, at time.Time, format string, args ...any) {
 	if len(j.failures) < maxConfigFailures {
-		j.failures = append(j.failures, fmt.Sprintf(format, args...))
+		j.failures = append(j.failures, incident{at, o.name, o.entry.String(), fmt.Sprintf(format, args...)})
 	}
 }
 
 // result returns the failures and the number of openings that were judged.
-func (j *configJudge) result() (failures []string, judged int) {
+func (j *configJudge) result() (failures []incident, judged int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return slices.Clone(j.failures), j.judged
--- a/internal/fleetdemo/config_judge_test.go
+++ b/internal/fleetdemo/config_judge_test.go
@@ -103,7 +103,7 @@
 	case "fail":
 		failures, _ := p.judge.result()
 		want := strings.Join(words[2:], " ")
-		if p.named == len(failures) || !strings.Contains(failures[p.named], want) {
+		if p.named == len(failures) || !strings.Contains(failures[p.named].text, want) {
 			return fmt.Errorf("want a failure %q, have %q", want, failures)
 		}
 		p.named++
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -154,15 +154,17 @@
 		return report, err
 	}
 	var failure error
-	var outdated []string
-	outdated, report.Judged = k.site.judge.result()
-	report.Outdated = len(outdated)
-	if report.Outdated > 0 {
-		failure = errors.Errorf("seed %d: %d openings handled by an older configuration\n%s", c.Seed, report.Outdated, strings.Join(outdated, "\n"))
+	outdated, judged := k.site.judge.result()
+	report.Outdated, report.Judged = len(outdated), judged
+	for _, o := range outdated {
+		k.site.incidents.add(o)
+		failure = errors.Join(failure, errors.Errorf("seed %d: %s", c.Seed, o.text))
 	}
 	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.Repeated > 0 || lost > 0 {
 		failure = errors.Join(failure, errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
 			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n")))
+	}
+	if failure != nil {
 		failure = errors.Join(failure, writeEvidence(c.Out, dir, k.site.incidents.first(), k.timeline.faults()))
 	}
 	if c.HTMLReport != nil {
