--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -350,6 +350,18 @@
 	return nil
 }
 
+// describe sets what a hello message tells of the store, the evacuated failure domains and the
+// configuration.
+func (c *configSync) describe(now time.Duration, hello *peer.HelloMessage) {
+	hello.StoreEra, hello.Evacuation, hello.VerifiedAgo = c.store.Era(), c.evacuations.message(), neverVerified
+	if config := c.director.Config(); config != nil {
+		hello.ConfigVersion = config.Version()
+	}
+	if ago, ok := c.director.VerifiedAgo(now); ok {
+		hello.VerifiedAgo = ago.Milliseconds()
+	}
+}
+
 // handleHello processes the evacuated failure domains and the configuration version in the
 // hello message of another entry. The same version verifies the configuration in force if the
 // sender has verified its own; a newer one is fetched from the sender, once the evacuated
--- a/internal/fleet/hello.go
+++ b/internal/fleet/hello.go
@@ -199,18 +199,12 @@
 	now := e.now()
 	hello := peer.HelloMessage{
 		Incarnation: e.started.UnixMilli(), WantsReply: wantsReply, FailureDomain: e.settings.FailureDomain,
-		Ready: e.ready(), Settled: e.director.AgentsSettled(e.now()), VerifiedAgo: neverVerified,
-		StoreEra: e.store.Era(), Evacuation: e.config.evacuations.message(),
+		Ready: e.ready(), Settled: e.director.AgentsSettled(e.now()),
 	}
+	e.config.describe(now, &hello)
 	if withEntries {
 		hello.Entries = e.entries.alive(now)
 	}
-	if c := e.director.Config(); c != nil {
-		hello.ConfigVersion = c.Version()
-	}
-	if ago, ok := e.director.VerifiedAgo(now); ok {
-		hello.VerifiedAgo = ago.Milliseconds()
-	}
 	return hello
 }
 
--- a/internal/fleetdemo/config_judge_test.go
+++ b/internal/fleetdemo/config_judge_test.go
@@ -104,7 +104,7 @@
 		failures, _ := p.judge.result()
 		want := strings.Join(words[2:], " ")
 		if p.named == len(failures) || !strings.Contains(failures[p.named].text, want) {
-			return fmt.Errorf("want a failure %q, have %q", want, failures)
+			return fmt.Errorf("want a failure %q, have %v", want, failures)
 		}
 		p.named++
 	default:
