A fetch of a configuration outlasts a full link and does not block the next

What callers saw: openings handled by an older version long after the limit. An entry that knew of a newer version did not get it.

Cause: a fetch from another entry had to be through in 1 s, with the connection. Packets may wait for up to half a second each way on the link of a machine that is in touch: the call alone takes a second and a new connection another one, so that no fetch succeeds while the link is full. One fetch ran at a time, so that an entry which cannot be reached kept the next one waiting.

Evidence: TestConfigurationDelay/full-link: not in force after 12 s at the entry with the full link; one-slow-link the same.

Change: a fetch may take 2.5 s, and up to three from different entries overlap, 0.2 s apart.

Measured: full-link and one-slow-link within their limit of 3 s; both failed before.

--- a/internal/fleet/config_delay_test.go
+++ b/internal/fleet/config_delay_test.go
@@ -170,7 +170,7 @@
 		store: platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), platform.WithTransport(&delayTransport{entry: e, open: make(map[string]bool)})),
 	}
 	e.configSync = newConfigSync(p, director.New(p.self, p.codec, &countingPort{}), e.recordChange, func([]string) {})
-	e.client.Transport = &delayTransport{entry: e, open: make(map[string]bool)}
+	e.fetchClient.Transport = &delayTransport{entry: e, open: make(map[string]bool)}
 	s.entries = append(s.entries, e)
 }
 
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -43,6 +43,14 @@
 	// maxVerifiedAgo is the largest age, in milliseconds, of a verification in a hello
 	// message that is used: one that overflows would lie in the future.
 	maxVerifiedAgo = int64(time.Hour / time.Millisecond)
+	// configCallTimeout bounds a call for the configuration, to the store or to another entry. A
+	// full link holds packets for up to half a second each way, so that such a call takes two
+	// seconds if it needs a new connection.
+	configCallTimeout = 2500 * time.Millisecond
+	// maxFetches bounds the fetches from other entries at a time, fetchStagger the time between the
+	// starts of two: the first entry may be one to which no connection can be set up.
+	maxFetches   = 3
+	fetchStagger = 200 * time.Millisecond
 	// maxConfigBytes bounds the body of a response from another entry: the
 	// store's limit for a value, 1 MiB.
 	maxConfigBytes = 1 << 20
@@ -91,6 +99,7 @@
 	newerHeardAt   time.Duration     // when another entry first named a newer version than the one in force; 0 if none has
 	unverifiedAt   atomic.Int64      // now() when the last verification became void; 0 at the start
 	newerFrom      chan peer.Addr    // entry from which to fetch a newer configuration
+	fetchClient    *http.Client      // for these fetches
 	holdersPending chan struct{}     // not empty while the flow holders must be written
 	confirmWanted  chan struct{}     // not empty while resets wait for a verification of the configuration
 	onChange       func()            // announces a new configuration to the other entries
@@ -104,6 +113,7 @@
 	return &configSync{
 		process: p, director: d, onChange: onChange, onEvacuation: onEvacuation, client: &http.Client{Timeout: storeTimeout},
 		evacuations:    newEvacuations(p, d.SetEvacuated, func(string) bool { return true }),
+		fetchClient:    &http.Client{Timeout: configCallTimeout},
 		holdersPending: make(chan struct{}, 1), newerFrom: make(chan peer.Addr, 1), confirmWanted: make(chan struct{}, 1),
 	}
 }
@@ -394,23 +404,44 @@
 	}
 }
 
-// fetchLoop fetches newer configurations from other entries until the context
-// ends.
+// fetchLoop fetches newer configurations from other entries until the context ends. While a fetch
+// takes long, it begins others, from other entries.
 func (c *configSync) fetchLoop(ctx context.Context) error {
+	ended := make(chan peer.Addr, maxFetches)
+	running := make(map[peer.Addr]bool)
+	startedAt := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
+			for range running {
+				<-ended
+			}
 			return nil
+		case from := <-ended:
+			delete(running, from)
 		case from := <-c.newerFrom:
-			c.fetch(from)
+			now := c.now()
+			if running[from] || len(running) == maxFetches || len(running) > 0 && now-startedAt < fetchStagger {
+				continue // a hello message of this or of another entry repeats the request
+			}
+			running[from], startedAt = true, now
+			go func() {
+				c.fetch(ctx, from)
+				ended <- from
+			}()
 		}
 	}
 }
 
 // fetch reads the configuration of another entry and applies it if it is newer.
-func (c *configSync) fetch(from peer.Addr) {
+func (c *configSync) fetch(ctx context.Context, from peer.Addr) {
 	address := netip.AddrPortFrom(from.Addr(), c.settings.PeerPort+1)
-	resp, err := c.client.Get("http://" + address.String() + configPath)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+configPath, nil)
+	if err != nil {
+		c.log.Error("request of a configuration not created", daemon.Err(err))
+		return
+	}
+	resp, err := c.fetchClient.Do(req)
 	if err != nil {
 		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), daemon.Err(err))
 		return
