Entries read a configuration that the watches miss within half of the shortest limit

What callers saw: openings handled by an older version.

Cause: the delays until an entry reads the store by itself add up to the limit of 3 s and more: 1 s, 0.4 s for each live entry with a lower address, up to five of which the store may turn away, 0.25 s until the next check, 1 s for a read that is given up, during which no other begins, and 0.3 s in which earlier versions are asked for. A read over a full link never succeeded within 1 s. An entry that knew of a newer version and could not connect to the others waited for its rank as well.

Change: reads after 0.4 s and 0.42 s for each of three ranks, those of higher ranks spread over 0.5 s; a check every 0.1 s; a read may take 2.5 s and up to three overlap; the newest version waits for earlier ones for 0.1 s only; an entry that has heard of a newer version reads the store after 0.3 s whatever its rank. The script most-turned-away has the limit itself as its bound, 3 s: half of it is asked for with two entries lost.

Reads of the store go from one a second to 2.5.

--- a/internal/fleet/config_delay_test.go
+++ b/internal/fleet/config_delay_test.go
@@ -28,8 +28,9 @@
 )
 
 const (
-	delayScripts = "testdata/config-delay/*.txt"
-	delayPort    = 7000
+	delayScripts       = "testdata/config-delay/*.txt"
+	failedDelayScripts = "testdata/config-delay-failed/*.txt"
+	delayPort          = 7000
 	// delayWarmup is the time before the first change, delayPause the least between two.
 	delayWarmup = 4 * time.Second
 	delayPause  = 12 * time.Second
@@ -84,8 +85,16 @@
 //	silent-watches          the store does not answer watches
 //	changes N               changes of the configuration
 //	bound MS                from the store's acknowledgement until all entries have it in force
-func TestConfigurationDelay(t *testing.T) {
-	paths, err := filepath.Glob(delayScripts)
+func TestConfigurationDelay(t *testing.T) { playDelayScripts(t, delayScripts) }
+
+// TestConfigurationDelayOnSlowLinks is TestConfigurationDelay with the scripts in
+// testdata/config-delay-failed: the watches, two entries and all links fail at once.
+func TestConfigurationDelayOnSlowLinks(t *testing.T) { playDelayScripts(t, failedDelayScripts) }
+
+// playDelayScripts plays the scripts of a pattern.
+func playDelayScripts(t *testing.T, pattern string) {
+	t.Helper()
+	paths, err := filepath.Glob(pattern)
 	if err != nil || len(paths) == 0 {
 		t.Fatal("no scripts", err)
 	}
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -27,16 +27,25 @@
 	retryDelay = 300 * time.Millisecond
 	// verifyInterval is how often one of the entries reads the configuration from
 	// the store even without a change in its watch, as a watch may miss changes.
-	// It is a third of the shortest time limit for applying a configuration, 3 s.
-	verifyInterval = time.Second
-	// verifyRankDelay and verifyMaxRank stagger these reads by rank. Every
-	// verifyCheckInterval an entry checks how long ago its configuration was verified,
-	// by a read or by a hello message. It reads only if that is at least
-	// verifyInterval, plus verifyRankDelay for each live entry with a lower
-	// address, counting at most verifyMaxRank.
-	verifyCheckInterval = 250 * time.Millisecond
-	verifyRankDelay     = 400 * time.Millisecond
-	verifyMaxRank       = 5
+	// With two steps of verifyRankDelay it is below half of the shortest time limit for applying a
+	// configuration, 3 s.
+	verifyInterval = 400 * time.Millisecond
+	// Every verifyCheckInterval an entry checks how long ago its configuration was verified, by a
+	// read of its own or of an entry that has sent a hello message. It reads only after readDelay.
+	verifyCheckInterval = 100 * time.Millisecond
+	// verifyRankDelay staggers the reads by rank, up to verifyMaxRank: it exceeds reportInterval, in
+	// which the entries hear of a read. verifyCrowdDelay spreads those of the higher ranks, which
+	// read only if all of the lower ones fail, over maxVerifyCrowdDelay.
+	verifyRankDelay     = 420 * time.Millisecond
+	verifyMaxRank       = 3
+	verifyCrowdDelay    = 20 * time.Millisecond
+	maxVerifyCrowdDelay = 500 * time.Millisecond
+	// maxPendingReads bounds the reads of an entry at a time: one may take long while the next one,
+	// over another connection, succeeds.
+	maxPendingReads = 3
+	// newerReadDelay is the time for which an entry waits for the fetch of a newer version, of which
+	// it has heard, before it reads that from the store itself.
+	newerReadDelay = 300 * time.Millisecond
 	// maxHelloLatency exceeds the time that a hello message takes between two
 	// entries. It is added to the age of a verification that a hello message reports.
 	maxHelloLatency = 50 * time.Millisecond
@@ -206,7 +215,7 @@
 // from an older copy. If it applies both, the configuration in force is verified as of the
 // start of the call.
 func (c *configSync) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
 	defer cancel()
 	begin := c.now()
 	keys, err := c.readOperatorKeys(ctx)
@@ -237,12 +246,12 @@
 		c.log.Warn("configuration of the store is older than that of another entry", zap.Uint64("config", config.Version()))
 		return nil
 	}
+	wait := func() {}
 	if current := c.director.Config(); current != nil && config.Version() > current.Version() {
-		if err := c.catchUp(ctx); err != nil {
-			c.log.Info("configurations before the newest one not read", zap.Uint64("config", config.Version()), daemon.Err(err))
-		}
+		wait = c.beginCatchUp(ctx, config.Version())
 	}
 	c.putInForce(config, keys.config, storeSource, 0)
+	wait()
 	if begin >= peerAnswerTime && c.director.Config().Version() == config.Version() {
 		c.director.MarkVerified(begin)
 	}
@@ -265,36 +274,57 @@
 	return version < c.newestHeard && c.now()-c.newestHeardAt < newestHeardTimeout
 }
 
-// verifyLoop reads the configuration from the store whenever it has not been
-// verified for a while, by this entry or by a hello message of another. The delay
-// grows with the rank of the entry, so that usually only one
-// entry reads. It also verifies it for resets for want of a route that wait.
+// verifyLoop reads the configuration from the store whenever it has not been verified for a while,
+// by this entry or by another one that has read it, or if a newer one is not fetched in time. It
+// also verifies it for resets for want of a route that wait.
 func (c *configSync) verifyLoop(ctx context.Context) error {
-	readAt, unroutedAt := time.Duration(0), -unroutedInterval
+	ended := make(chan error, maxPendingReads)
+	pending, readAt, unroutedAt := 0, -verifyInterval, -unroutedInterval
 	for ctx.Err() == nil {
 		sleep(ctx, verifyCheckInterval)
-		rank, now := c.rank(), c.now()
-		if _, unrouted := c.director.AwaitsVerification(); unrouted && now-unroutedAt >= unroutedInterval {
-			unroutedAt = now
-			if err := c.confirm(ctx); err != nil && ctx.Err() == nil {
+		for ; len(ended) > 0; pending-- {
+			if err := <-ended; err != nil && ctx.Err() == nil {
 				c.metrics.increment("store-errors")
 			}
 		}
-		ago, ok := c.director.VerifiedAgo(now)
-		if !ok {
-			ago = now - time.Duration(c.unverifiedAt.Load())
-		}
-		if ago < verifyInterval+time.Duration(min(rank, verifyMaxRank))*verifyRankDelay || now-readAt < verifyInterval {
-			continue
+		now := c.now()
+		due := c.readDue(now)
+		if _, unrouted := c.director.AwaitsVerification(); unrouted && now-unroutedAt >= unroutedInterval {
+			unroutedAt, due = now, true
 		}
-		readAt = now
-		if err := c.read(ctx); err != nil && ctx.Err() == nil {
-			c.metrics.increment("store-errors")
+		if due && pending < maxPendingReads && now-readAt >= verifyInterval {
+			readAt = now
+			pending++
+			go func() { ended <- c.read(ctx) }()
 		}
 	}
+	for ; pending > 0; pending-- {
+		<-ended
+	}
 	return nil
 }
 
+// readDue reports whether the configuration must be read: it has not been verified for the time
+// that the rank of this entry asks for, or another entry has named a newer one that is not in force
+// yet.
+func (c *configSync) readDue(now time.Duration) bool {
+	ago, ok := c.director.VerifiedAgo(now)
+	if !ok {
+		ago = now - time.Duration(c.unverifiedAt.Load())
+	}
+	c.mu.Lock()
+	heardAt := c.newerHeardAt
+	c.mu.Unlock()
+	return ago >= readDelay(c.rank()) || heardAt != 0 && now-heardAt >= newerReadDelay
+}
+
+// readDelay returns the time since the last verification after which an entry of a rank reads the
+// configuration, so that usually only the one of the lowest rank does.
+func readDelay(rank int) time.Duration {
+	crowd := time.Duration(max(rank-verifyMaxRank, 0)) * verifyCrowdDelay
+	return verifyInterval + time.Duration(min(rank, verifyMaxRank))*verifyRankDelay + min(crowd, maxVerifyCrowdDelay)
+}
+
 // requestConfirmation requests a verification of the configuration for a reset that waits.
 func (c *configSync) requestConfirmation() {
 	select {
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
 	"hickoryhook.example/pkg/route"
@@ -20,9 +21,10 @@
 	// watchDelay is the pause between two watches; it merges changes in quick
 	// succession into one call.
 	watchDelay = 150 * time.Millisecond
-	// catchUpTimeout bounds the delay of a configuration that was read while those before it
-	// are requested, which may not exceed a small part of the time limit of 3 s.
+	// catchUpTimeout bounds the request for the configurations before one that was read, and
+	// catchUpWait the time by which it delays that one.
 	catchUpTimeout = 300 * time.Millisecond
+	catchUpWait    = 100 * time.Millisecond
 	// replayWait is the wait of a watch for changes that the store has already.
 	replayWait = 50 * time.Millisecond
 	// watcherCount is how many entries, those of the lowest ranks, watch the
@@ -97,7 +99,7 @@
 // readEvacuation is read, but returns an error only if the evacuated failure domains are not
 // known: that of a configuration that cannot be applied is logged.
 func (c *configSync) readEvacuation(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
 	defer cancel()
 	begin := c.now()
 	keys, err := c.readOperatorKeys(ctx)
@@ -136,6 +138,25 @@
 	return version, failure
 }
 
+// beginCatchUp is catchUp in the background. It returns after catchUpWait or before, and wait waits
+// for the end: configurations that arrive after a newer one still name holders of flows.
+func (c *configSync) beginCatchUp(ctx context.Context, version uint64) (wait func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := c.catchUp(ctx); err != nil {
+			c.log.Info("configurations before the newest one not read", zap.Uint64("config", version), daemon.Err(err))
+		}
+	}()
+	timer := time.NewTimer(catchUpWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	return func() { <-done }
+}
+
 // catchUp applies the configurations since the revision from which the watch continues, if the
 // store still has these changes, so that a read of the newest one skips none.
 func (c *configSync) catchUp(ctx context.Context) error {
