A reset is confirmed by a read: a watch without events proves nothing

What callers saw: nothing yet; found by reading. A living flow may be reset, or an opening of a route that was just added be refused.

Cause: resets that wait for the newest configuration took a watch without events for a proof that nothing had changed. For a second before it drops its history, the store of the platform may return no events although there are changes.

Evidence: TestUnseenChangeConfirmsNothing resets a flow that was placed under version 9, which the watch has missed.

Change: the call is a read of the operators' keys; that a watch costs the store fewer bytes was the reason for it. TestConfirmationReadsChanges asked for no read; TestConfirmationReadsConfiguration asks for exactly one in its place.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -5,13 +5,11 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
@@ -81,9 +79,6 @@
 	unroutedInterval = 5 * time.Second
 	// confirmRetryDelay is the pause after such a call that has failed.
 	confirmRetryDelay = time.Second
-	// confirmWait is the wait of a watch for changes that the store has already: the least
-	// that a call can name.
-	confirmWait = time.Millisecond
 
 	configPath            = "/configuration"
 	versionHeader         = "Config-Version"
@@ -346,13 +341,15 @@
 }
 
 // confirmForResets verifies the configuration if resets wait for that, sends those that it proves,
-// and requests another verification if others wait. It returns the time until then.
+// and requests another verification if others wait. It returns the time until then. It reads the
+// configuration, as a watch without events proves nothing: the store may drop changes from its
+// history.
 func (c *configSync) confirmForResets(ctx context.Context) time.Duration {
 	if unheld, _ := c.director.AwaitsVerification(); !unheld {
 		return 0
 	}
 	pause := confirmInterval
-	if err := c.confirm(ctx); err != nil && ctx.Err() == nil {
+	if err := c.read(ctx); err != nil && ctx.Err() == nil {
 		c.metrics.increment("store-errors")
 		pause = confirmRetryDelay
 	}
@@ -363,33 +360,6 @@
 	return pause
 }
 
-// confirm verifies the configuration in force by the changes since the revision from which the
-// watch continues, which cost less than the whole. It applies them. If that revision is not known,
-// the store does not have the changes any more or they request an evacuation, it reads all.
-func (c *configSync) confirm(ctx context.Context) error {
-	after, version := c.watchedUntil()
-	if after == (platform.Revision{}) || version == 0 {
-		return c.read(ctx)
-	}
-	begin := c.now()
-	c.metrics.increment("store-watches")
-	events, err := c.store.Watch(ctx, platform.OperatorPrefix, after, confirmWait)
-	if errors.Is(err, platform.ErrCompacted) || err == nil && slices.ContainsFunc(events.Events, requestsEvacuation) {
-		return c.read(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	if version, err = c.applyEvents(events.Events, version); err != nil {
-		return err
-	}
-	c.advance(after, events.AsOf, version)
-	if begin >= peerAnswerTime && !c.isOutdated(version) && c.director.Config().Version() == version {
-		c.director.MarkVerified(begin)
-	}
-	return nil
-}
-
 // describe sets what a hello message tells of the store, the evacuated failure domains and the
 // configuration.
 func (c *configSync) describe(now time.Duration, hello *peer.HelloMessage) {
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -89,32 +89,50 @@
 	is.Equal(s.port.resets, 1)
 }
 
-// TestConfirmationReadsChanges covers the call to the store for resets that wait: it carries only
-// what has changed, and puts that in force before the resets are sent.
-func TestConfirmationReadsChanges(t *testing.T) {
+// TestConfirmationReadsConfiguration covers the call to the store for resets that wait: it is one
+// read, which puts what has changed in force before the resets are sent.
+func TestConfirmationReadsConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := newConfirmSite(t)
+	confirm := func(store map[string]int) {
+		t.Helper()
+		before := s.store.Calls()
+		s.confirmForResets(context.Background())
+		for name, n := range s.store.Calls() {
+			is.Equal(n-before[name], store[name])
+		}
+	}
 	s.findNobody()
-	reads := s.store.Calls()["kv-range"]
-	is.NoErr(s.confirm(context.Background()))
-	s.director.ResetVerified(s.now())
+	confirm(map[string]int{"kv-range": 1})
 	is.Equal(s.port.resets, 1)
 	s.findNobody()
 	s.store.Set(platform.ConfigKey, []byte(`{"version":9,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"exposeserver"}]}`))
 	s.director.HandleReport(s.now(), peer.Addr{10, 0, 0, 8}, peer.Status{Incarnation: 1, Sequence: 1, Service: "exposeserver", Upstream: "v", Slots: 2})
-	is.NoErr(s.confirm(context.Background()))
+	confirm(map[string]int{"kv-range": 1, "kv-watch": 1}) // the versions before it are asked for
 	is.Equal(s.director.Config().Version(), uint64(9))
-	s.director.ResetVerified(s.now())
 	is.Equal(s.port.resets, 1) // the flow may be at the service that the new version names
 	is.True(!s.awaits())
-	is.Equal(s.store.Calls()["kv-range"], reads)
 	s.store.Compact()
 	s.store.Set("op/evacuate/graz-nord", []byte("{}"))
 	s.findNobodyAgain()
-	is.NoErr(s.confirm(context.Background())) // all is read, with the evacuation
+	is.NoErr(s.read(context.Background())) // of all keys, with the evacuation
 	is.Equal(s.evacuations.message().Domains, []string{"graz-nord"})
 }
 
+// TestUnseenChangeConfirmsNothing guards against the reset of a living flow that was placed under a
+// configuration which the watches miss: for a second before the store drops its history, a watch
+// returns no events although there are changes.
+func TestUnseenChangeConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newConfirmSite(t)
+	s.findNobody()
+	s.store.SetUnseen(platform.ConfigKey, []byte(`{"version":9,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"exposeserver"}]}`))
+	s.director.HandleReport(s.now(), peer.Addr{10, 0, 0, 8}, peer.Status{Incarnation: 1, Sequence: 1, Service: "exposeserver", Upstream: "v", Slots: 2})
+	s.confirmForResets(context.Background())
+	is.Equal(s.port.resets, 0)
+	is.Equal(s.director.Config().Version(), uint64(9))
+}
+
 // TestOlderConfigurationConfirmsNothing covers a store that has come back from an older copy while
 // another entry has sent a newer configuration: what the store has verifies nothing.
 func TestOlderConfigurationConfirmsNothing(t *testing.T) {
@@ -122,8 +140,7 @@
 	s := newConfirmSite(t)
 	is.NoErr(s.apply([]byte(`{"version":11,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"maklerlink"}]}`), "10.0.0.3", 7))
 	s.findNobody()
-	is.NoErr(s.confirm(context.Background()))
-	s.director.ResetVerified(s.now())
+	s.confirmForResets(context.Background())
 	is.Equal(s.port.resets, 0)
 }
 
--- a/internal/kvstandin/store.go
+++ b/internal/kvstandin/store.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// SetUnseen is like Set, but watches miss the change.
+func (s *Store) SetUnseen(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saveCopy()
+	s.revision++
+	old := s.items[key]
+	s.items[key] = item{Key: key, Value: value, Revision: s.revision, Created: max(old.Created, 1)}
+}
+
 // DeleteUnseen is like Delete, but watches miss the change.
 func (s *Store) DeleteUnseen(key string) {
 	s.mu.Lock()
