An opening is a copy only if its number or its time says so, and follows the route

In the tests an opening is run by a service to which its route does not lead any more.

Cause: of a flow that this entry has not placed (announced by an agent, found by a search, restored), and at an agent of one that it has not offered, the sequence number of the opening is not known; every opening from the same address and port counted as a copy of it, at any time later. And a copy of an opening that no upstream had taken followed the placement of the one before, up to 0.6 s later, whatever the route said by then.

Evidence: TestOpeningOfAnnouncedFlowIsPlaced, TestOpeningBesideKnownFlowIsAdmitted and TestCopyFollowsRoute fail before.

Change: where the number is not known, a copy has to be numbered as one and to arrive within 1.4 s, as long as callers wait for the answer. A copy goes to the recorded owner if that has announced the flow or if its service is one to which the route sends new flows.

--- a/pkg/director/opening.go
+++ b/pkg/director/opening.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"hickoryhook.example/pkg/peer"
@@ -37,15 +38,18 @@
 	firstCopyAfter  = 200 * time.Millisecond
 	secondCopyAfter = 600 * time.Millisecond
 	copySlack       = 25 * time.Millisecond
+	// openingTimeout is how long a caller waits for the answer to an opening and its copies.
+	openingTimeout = 1400 * time.Millisecond
 )
 
 // handleOpening handles an opening packet. A retransmitted one is sent to the flow's
-// recorded owner if that is usable; otherwise the flow is placed again. Any other opening,
-// also of a later flow with the same addresses, is placed only if the link admits it.
+// recorded owner if that is usable and may still get the flow; otherwise the flow is placed again.
+// Any other opening, also of a later flow with the same addresses, is placed only if the link
+// admits it.
 func (d *Director) handleOpening(now time.Duration, s *shard, h segment.Header, r route.Route, packet []byte) {
 	rec := s.flows[h.Flow]
-	isCopy := rec != nil && rec.openedWith(h)
-	if isCopy && d.members.usable(now, rec.owner) {
+	isCopy := rec != nil && rec.isCopy(now, h)
+	if isCopy && d.members.usable(now, rec.owner) && (rec.open || rec.mayGoTo(r)) {
 		rec.lastSeen, rec.copies = now, max(rec.copies, h.Acknowledged)
 		d.accountOpening(now, rec, h, rec.closed, len(packet)) // the caller uses the port of a closed flow again
 		d.port.RecordDecision(Decision{Event: OpeningRepeated, Flow: h.Flow, Agent: rec.owner, Version: rec.version})
@@ -91,6 +95,22 @@
 	return !r.placed || r.openedBy == h.Sequence
 }
 
+// isCopy reports whether an opening is a copy of that of the recorded flow. For a flow that this
+// entry has not placed, it must be numbered as a copy and arrive while callers still wait for the
+// answer: any later one opens another flow from the same address and port.
+func (r *flowRecord) isCopy(now time.Duration, h segment.Header) bool {
+	if !r.placed {
+		return h.Acknowledged > 0 && now-r.created < openingTimeout
+	}
+	return r.openedBy == h.Sequence
+}
+
+// mayGoTo reports whether the route sends new flows to the recorded service. It may have sent them
+// elsewhere since the flow was placed.
+func (r *flowRecord) mayGoTo(to route.Route) bool {
+	return slices.ContainsFunc(to.Shares, func(s route.Share) bool { return s.Weight > 0 && peer.Service(s.Service) == r.service })
+}
+
 // placeFlow selects a service for a new flow and offers the flow to the service's
 // agents. It resets the flow if none of the route's services has a weight. If no agent
 // of the service accepts new flows, it calls refuseOpening.
--- a/pkg/director/reuse_test.go
+++ b/pkg/director/reuse_test.go
@@ -132,6 +132,67 @@
 	is.Equal(s.port.last().Kind, peer.Place)
 }
 
+// moveRoute puts a configuration in force whose route leads to another service, of a third agent.
+func (s *reuseSite) moveRoute(now time.Duration) peer.Addr {
+	third := peer.Addr{10, 0, 0, 5}
+	s.SetNextConfig(route.New(2, []route.Route{{Name: "pages", VIP: vipAt(2), Timeout: time.Second, Shares: []route.Share{{Service: "exposeserver", Weight: 1}}}}), 1)
+	s.HandleReport(now, third, peer.Status{Incarnation: 1, Sequence: 1, Service: "exposeserver", Upstream: "v", Born: 1, Taking: true, Slots: 2, FailureDomain: "c"})
+	return third
+}
+
+// TestOpeningOfAnnouncedFlowIsPlaced guards against an opening that is taken for a copy of that of an
+// earlier flow from the same address and port, which an agent has announced to this entry: it
+// would go to a service to which the route does not lead any more.
+func TestOpeningOfAnnouncedFlowIsPlaced(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		copies uint32
+		after  time.Duration
+		copied bool
+	}{
+		{"a copy", 1, 600 * time.Millisecond, true},
+		{"the first packet of a later flow", 0, 600 * time.Millisecond, false},
+		{"a copy of the opening of a later flow", 1, 1400 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newReuseSite(t)
+			s.own(t, time.Second, s.first)
+			third := s.moveRoute(1100 * time.Millisecond)
+			s.report(time.Second+c.after, 0, 9)
+			s.send(t, time.Second+c.after, segment.Open, 7000, c.copies)
+			if c.copied {
+				is.Equal(s.port.last().to, s.first)
+				is.Equal(s.port.last().Kind, peer.Deliver)
+				return
+			}
+			is.Equal(s.port.last().to, third)
+			is.Equal(s.port.last().Kind, peer.Place)
+		})
+	}
+}
+
+// TestCopyFollowsRoute guards against a copy of an opening that follows the placement of the one
+// before although no upstream has taken that and the route has moved since.
+func TestCopyFollowsRoute(t *testing.T) {
+	is := is.New(t)
+	s := newReuseSite(t)
+	s.send(t, time.Second, segment.Open, 7000, 0)
+	is.Equal(s.port.last().to, s.first)
+	s.send(t, 1200*time.Millisecond, segment.Open, 7000, 1)
+	is.Equal(s.port.last().to, s.first)
+	third := s.moveRoute(1300 * time.Millisecond)
+	s.send(t, 1600*time.Millisecond, segment.Open, 7000, 2)
+	is.Equal(s.port.last().to, third)
+
+	s = newReuseSite(t)
+	s.send(t, time.Second, segment.Open, 7000, 0)
+	s.own(t, 1010*time.Millisecond, s.first) // its upstream has taken the first packet
+	s.moveRoute(1100 * time.Millisecond)
+	s.send(t, 1200*time.Millisecond, segment.Open, 7000, 1)
+	is.Equal(s.port.last().to, s.first)
+}
+
 // TestReturnedOpeningOfEarlierFlowIsDropped guards against a late return of an opening: the
 // flow that the next caller has opened from the same address and port must neither be reset
 // nor be replaced by that of the earlier opening.
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -18,6 +18,8 @@
 	// ejected or on trial, or cold and without budget: it comes after upstreams with fewer
 	// than two requests per slot.
 	ejectedLoad = 2 * loadScale
+	// openingTimeout is how long a caller waits for the answer to an opening and its copies.
+	openingTimeout = 1400 * time.Millisecond
 )
 
 const (
@@ -64,7 +66,7 @@
 // opening wait for it, or forwards the frame to the next candidate. The opening of a later
 // flow with the same addresses as one in the table is admitted as any other.
 func (r *Relay) handleOpening(now time.Duration, f *peer.Frame, h segment.Header) {
-	if s := r.flows[h.Flow]; s != nil && s.phase != closed && s.openedWith(h) { // a retransmission
+	if s := r.flows[h.Flow]; s != nil && s.phase != closed && s.openedWith(now, h) { // a retransmission
 		if s.phase == accepted || r.retryOffer(now) {
 			r.deliver(now, f, h, s) // the upstream answers it again
 		}
@@ -89,11 +91,15 @@
 	}
 }
 
-// openedWith reports whether an opening may be that of the flow: callers begin each flow with
-// another sequence number and keep it when they retransmit the opening. The number is not
-// known of flows that the relay has not offered.
-func (s *flowState) openedWith(h segment.Header) bool {
-	return s.opening == nil || s.openedBy == h.Sequence
+// openedWith reports whether an opening is a copy of that of the flow: callers begin each flow with
+// another sequence number and keep it when they retransmit the opening. The number is not known of
+// flows that the relay has not offered: there, the opening must be numbered as a copy and come while
+// callers still wait for the answer.
+func (s *flowState) openedWith(now time.Duration, h segment.Header) bool {
+	if s.opening == nil {
+		return h.Acknowledged > 0 && now-s.added < openingTimeout
+	}
+	return s.openedBy == h.Sequence
 }
 
 // admit decides about the opening in the frame. It is not offered if the upstream is of
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -210,6 +210,7 @@
 		lastSeen     time.Duration      // when the last packet of either end came
 		callerSeen   time.Duration      // when the caller's last packet came
 		waitingSince time.Duration      // when the unanswered request, or packet that added the flow, came
+		added        time.Duration      // when the state was added, if opening is not set
 	}
 
 	// deliveryContext holds the fields of a frame whose packet was delivered to
@@ -391,7 +392,7 @@
 		return
 	}
 	if s == nil && f.Service == r.service {
-		s = &flowState{waitingSince: now} // until the upstream answers the packet or bounces it
+		s = &flowState{waitingSince: now, added: now} // until the upstream answers the packet or bounces it
 		r.flows[h.Flow] = s
 		r.deliver(now, f, h, s)
 		return
--- a/pkg/relay/reuse_test.go
+++ b/pkg/relay/reuse_test.go
@@ -50,6 +50,33 @@
 	is.Equal(r.take(), "place 10.0.0.2")
 }
 
+// TestOpeningBesideKnownFlowIsAdmitted guards against an opening that is taken for a copy of that of
+// an earlier flow from the same address and port, of which the relay has not seen the opening: it
+// would reach an upstream of a service to which its route does not lead any more.
+func TestOpeningBesideKnownFlowIsAdmitted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		copies uint32
+		after  time.Duration // from the first packet of the earlier flow
+		want   string
+	}{
+		{"a copy", 1, time.Second, "upstream"},
+		{"the first packet of a later flow", 0, time.Second, "place 10.0.0.2"},
+		{"a copy of the opening of a later flow", 1, 1400 * time.Millisecond, "place 10.0.0.2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness()
+			is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Ack, 5000, 550, 100))) // after a restart of the relay
+			r.relay.SetEvacuated(r.now, true)
+			r.take()
+			r.now += c.after
+			is.NoErr(r.relay.HandleFrame(r.now, r.frame(peer.Place, nil, r.packet(1, segment.Open, 60000, c.copies, 0))))
+			is.Equal(r.take(), c.want)
+		})
+	}
+}
+
 // TestResetOfLaterFlowNamesItsNumbers guards against a reset that the caller ignores, as it
 // names what an earlier caller with the same address and port has acknowledged.
 func TestResetOfLaterFlowNamesItsNumbers(t *testing.T) {
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -72,7 +72,7 @@
 		if h.Has(segment.Reset) {
 			return false
 		}
-		s = &flowState{phase: accepted}
+		s = &flowState{phase: accepted, added: now}
 		r.flows[h.Flow] = s
 		r.openFlows++
 	}
