A restarted agent offers a packet of a flow of unknown service to its upstream

Cause: the entries have missed a version of the configuration, as the store had dropped its history, so that an entry that starts does not know the service of a flow. Its search visits the agents of all other services, which check their tables only. The agent beside the flow's upstream had been restarted and has no table; nobody finds the flow until the record is completed.

Change: until it has run for as long as a flow without packets stays in the table, an agent offers such a packet to its upstream, which returns what it does not hold. Its answer is certain then.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -376,7 +376,9 @@
 // the flow or held it. The packet is delivered if it matches a flow in the table; if
 // the packet is part of a search, an accepted flow is announced to the entry. A packet
 // of an unknown flow is delivered if the frame is for this service and the upstream's
-// process has not ended; the upstream bounces the packet if it does not hold the flow.
+// process has not ended; the upstream bounces the packet if it does not hold the flow. So is one
+// whose service the entry does not know, until the relay has run for as long as a flow without
+// packets stays in the table: the upstream may hold flows that were opened before its start.
 // Any other frame is forwarded.
 func (r *Relay) handleEstablished(now time.Duration, f *peer.Frame, h segment.Header) {
 	s := r.flows[h.Flow]
@@ -391,7 +393,7 @@
 		r.forward(f, h)
 		return
 	}
-	if s == nil && f.Service == r.service {
+	if s == nil && (f.Service == r.service || f.Service == 0 && now < r.lifetime) {
 		s = &flowState{waitingSince: now, added: now} // until the upstream answers the packet or bounces it
 		r.flows[h.Flow] = s
 		r.deliver(now, f, h, s)
