The soak counts no reset of a flow whose route was dropped as broken

Cause: a flow may be reset once a configuration drops its route, as the platform's rules say. The VIPs that each configuration of a soak has for itself are dropped two versions later, while their flows may still be open.

Change: a reset counts as broken only if the configuration that was written last has a route for the flow's VIP. The VIP of all other flows always has one.

--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -236,13 +236,13 @@
 }
 
 // recordReset counts the reset of a flow. It counts it as broken, too, if the
-// flow was open and a running upstream held it when the reset arrived.
+// flow was open, its route is there and a running upstream held it when the reset arrived.
 func (c *callers) recordReset(f *callerFlow, reset arrival) {
 	holder, held := reset.holders[f.isn]
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.resets++
-	if f.ack == 0 || !held {
+	if f.ack == 0 || !held || c.site.judge.drops(f.flow.VIP()) {
 		return
 	}
 	c.broken++
--- a/internal/fleetdemo/config_judge.go
+++ b/internal/fleetdemo/config_judge.go
@@ -217,6 +217,15 @@
 	}
 }
 
+// drops reports whether the configuration that was written last has no route for a VIP. Flows whose
+// route is dropped may be reset.
+func (j *configJudge) drops(v netip.AddrPort) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := len(j.versions)
+	return n > 0 && j.versions[n-1].routes[v] == ""
+}
+
 // fail records a failure about an opening that was handled at a time. The caller holds the lock.
 func (j *configJudge) fail(o opening, at time.Time, format string, args ...any) {
 	if len(j.failures) < maxConfigFailures {
