A packet without a route asks for a read only when one begins

Cause: the limit of one such read in 5 s counted from the request, also if no read could begin as another was 0.4 s old or less or three were pending; the packet then waited for its verification in vain, at an entry that does not read by rank.

Change: it counts from the read.

Measured: go test ./internal/fleet -run 'TestConfigurationDelay$|Confirm|Unrouted|Route' passes.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -283,12 +283,13 @@
 			}
 		}
 		now := c.now()
-		due := c.readDue(now)
-		if _, unrouted := c.director.AwaitsVerification(); unrouted && now-unroutedAt >= unroutedInterval {
-			unroutedAt, due = now, true
-		}
-		if due && pending < maxPendingReads && now-readAt >= verifyInterval {
+		_, unrouted := c.director.AwaitsVerification()
+		unrouted = unrouted && now-unroutedAt >= unroutedInterval
+		if pending < maxPendingReads && now-readAt >= verifyInterval && (unrouted || c.readDue(now)) {
 			readAt = now
+			if unrouted {
+				unroutedAt = now
+			}
 			pending++
 			go func() { ended <- c.read(ctx) }()
 		}
