--- a/internal/fleetdemo/config_judge.go
+++ b/internal/fleetdemo/config_judge.go
@@ -159,13 +159,15 @@
 	j.judge(o, at, func(routes map[netip.AddrPort]string) bool { return routes[o.vip] == service }, "run by "+service, agent)
 }
 
-// refused judges an opening that an entry has reset, which only a version without its route
-// explains while nothing is disturbed.
+// refused judges an opening that an entry has reset while nothing is disturbed. If some versions lack
+// its route, they alone explain that; if all have it, no configuration does.
 func (j *configJudge) refused(o opening, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.isCalm(o.sent, anyUpstream, storeMachine) && j.isCalm(o.sent, j.all()...) {
-		j.judge(o, at, func(routes map[netip.AddrPort]string) bool { return routes[o.vip] == "" }, "refused")
+	lacksRoute := func(routes map[netip.AddrPort]string) bool { return routes[o.vip] == "" }
+	lacking := slices.ContainsFunc(j.versions, func(v knownVersion) bool { return lacksRoute(v.routes) })
+	if lacking && j.isCalm(o.sent, anyUpstream, storeMachine) && j.isCalm(o.sent, j.all()...) {
+		j.judge(o, at, lacksRoute, "refused")
 	}
 }
 
--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -116,7 +116,7 @@
 
 // replace is restart with the lock of restarts held.
 func (u *upstream) replace(down, silent time.Duration) {
-	defer u.disturb()()
+	end := u.disturb()
 	u.mu.Lock()
 	u.down, u.flows, u.delayed = true, make(map[segment.Flow]*heldFlow), nil
 	u.mu.Unlock()
@@ -126,8 +126,9 @@
 	time.Sleep(down)
 	if err := u.health.start(u.settings.UpstreamAddress); err != nil {
 		u.site.log.Error("upstream not started again", zap.Error(err))
-		return
+		return // the disturbance goes on
 	}
+	defer end()
 	u.mu.Lock()
 	u.starts++
 	u.id = fmt.Sprintf("%s-%d", u.name, u.starts)
