A version that the store has lost stays missing

What callers saw: nothing on the platform, whose store loses nothing.

Cause: the store had come back from a copy without version 5, and the operator wrote version 6 alone. The entry had read version 1, got version 6 from another entry, with 5 as the one before, and saw 6 after 1 in the watch: it took that for the version before, and the record of flow holders for complete.

Evidence: its lines: 'flow holders' complete through 1 with config 6 at 21.177, found-nobody with holders complete through 6 at 21.635. TestVersionLostByStoreIsMissing fails before.

Change: of two versions that are named as the one before, the later counts.

Measured: the test passes.

--- a/pkg/director/history.go
+++ b/pkg/director/history.go
@@ -79,7 +79,9 @@
 		changed = changed || len(services) != len(old)
 		h.byVIP[r.VIP] = services
 	})
-	if c.Version() == h.version && previous > 0 {
+	if c.Version() == h.version {
+		// A store that has come back from an older copy lacks versions that others have seen.
+		previous = max(previous, h.previous)
 		h.previous = previous
 	}
 	h.follow(c, previous)
--- a/pkg/director/holders_test.go
+++ b/pkg/director/holders_test.go
@@ -93,3 +93,26 @@
 	is.New(p.t).NoErr(err)
 	return n
 }
+
+// TestVersionLostByStoreIsMissing guards against the reset of a living flow that was placed under a
+// version which the store has lost: it has come back from an older copy, and the operator has written
+// the newest version alone, so that an entry which starts takes that for the next one.
+func TestVersionLostByStoreIsMissing(t *testing.T) {
+	is := is.New(t)
+	d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil)
+	routes := func(version uint64, service string) *route.Config {
+		return route.New(version, []route.Route{{VIP: vipAt(2), Shares: []route.Share{{Service: service, Weight: 1}}}})
+	}
+	d.SetConfig(routes(1, "maklerlink"))
+	d.MergeHolders(nil, 1)
+	is.True(d.HoldersComplete())
+	d.SetNextConfig(routes(6, "maklerlink"), 5) // from another entry
+	is.True(!d.HoldersComplete())
+	d.SetNextConfig(routes(6, "maklerlink"), 1) // from the watch of the store
+	is.True(!d.HoldersComplete())
+	is.Equal(d.PreviousVersion(), uint64(5))
+	d.SetNextConfig(routes(5, "exposeserver"), 1)
+	d.SetNextConfig(routes(6, "maklerlink"), 0)
+	is.True(d.HoldersComplete())
+	is.Equal(d.Holders()[vipAt(2)], []string{"maklerlink", "exposeserver"})
+}
