A version that nobody has is not read for over and over; a panic in a read is contained

An entry reads the store every 0.4 s while it lacks a version that another one has named; one message with a version that no entry has kept it at that for good.

Evidence: TestVersionThatNobodyHasIsNotAwaited fails without the check (removal read-while-heard).

Change: the name counts for 2 s after the last message with it. Reads, fetches and the request for earlier versions log a panic, which counts as a failed call. The rank of the entry is computed only when the last verification is old enough.

Measured: TestConfigurationDelay and these tests pass; removals read-while-heard and read-when-heard fail their tests.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -291,7 +291,7 @@
 				unroutedAt = now
 			}
 			pending++
-			go func() { ended <- c.read(ctx) }()
+			go func() { ended <- c.runTask(func() error { return c.read(ctx) }) }()
 		}
 	}
 	for ; pending > 0; pending-- {
@@ -308,10 +308,15 @@
 	if !ok {
 		ago = now - time.Duration(c.unverifiedAt.Load())
 	}
+	return ago >= verifyInterval && ago >= readDelay(c.rank()) || c.lacksNewer(now)
+}
+
+// lacksNewer reports whether another entry has named a newer configuration newerReadDelay ago or
+// before that is not in force, and one has within newestHeardTimeout.
+func (c *configSync) lacksNewer(now time.Duration) bool {
 	c.mu.Lock()
-	heardAt := c.newerHeardAt
-	c.mu.Unlock()
-	return ago >= readDelay(c.rank()) || heardAt != 0 && now-heardAt >= newerReadDelay
+	defer c.mu.Unlock()
+	return c.newerHeardAt != 0 && now-c.newerHeardAt >= newerReadDelay && now-c.newestHeardAt < newestHeardTimeout
 }
 
 // readDelay returns the time since the last verification after which an entry of a rank reads the
@@ -428,7 +433,7 @@
 			}
 			running[from], startedAt = true, now
 			go func() {
-				c.fetch(ctx, from)
+				_ = c.runTask(func() error { c.fetch(ctx, from); return nil }) // a panic is logged
 				ended <- from
 			}()
 		}
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -144,7 +144,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := c.catchUp(ctx); err != nil {
+		if err := c.runTask(func() error { return c.catchUp(ctx) }); err != nil {
 			c.log.Info("configurations before the newest one not read", zap.Uint64("config", version), daemon.Err(err))
 		}
 	}()
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -324,3 +324,19 @@
 		p.addRegistryItem(&reg, platform.Item{Key: string(b), Value: b})
 	})
 }
+
+// TestVersionThatNobodyHasIsNotAwaited guards against an entry that reads the store over and over, as
+// one message has named a version that no entry has.
+func TestVersionThatNobodyHasIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	p, _ := newLoggedProcess()
+	c := newConfigSync(p, director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, nil), func() {}, func([]string) {})
+	is.NoErr(c.apply([]byte(`{"version":7}`), "test", 0))
+	p.started = p.started.Add(-time.Second)
+	c.handleHello(peer.Addr{10, 0, 0, 2}, peer.HelloMessage{ConfigVersion: 1<<64 - 1})
+	is.True(!c.lacksNewer(p.now())) // a fetch is under way
+	p.started = p.started.Add(-newerReadDelay)
+	is.True(c.lacksNewer(p.now()))
+	p.started = p.started.Add(-newestHeardTimeout)
+	is.True(!c.lacksNewer(p.now()))
+}
