--- a/internal/fleetdemo/callers.go
+++ b/internal/fleetdemo/callers.go
@@ -181,10 +181,8 @@
 	})
 	f.seq++
 	f.isn, f.ack = h.Sequence, h.Sequence+1
-	if h.Has(segment.Reset) {
-		if o, sent := f.opening.copy(0); sent && len(f.opening.sent) == 1 {
-			c.site.judge.refused(o, time.Now())
-		}
+	if o, single := f.opening.single(); single && h.Has(segment.Reset) {
+		c.site.judge.refused(o, time.Now()) // with several copies it is not known which one was refused
 	}
 	return f, ok
 }
--- a/internal/fleetdemo/openings.go
+++ b/internal/fleetdemo/openings.go
@@ -60,6 +60,16 @@
 	return c.sent[n], true
 }
 
+// single returns the only copy that was sent, and false if there are several.
+func (c *openingCopies) single() (opening, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.sent) != 1 {
+		return opening{}, false
+	}
+	return c.sent[0], true
+}
+
 // judgeOpening judges the copy of an opening that an upstream of a service has taken.
 func (s *site) judgeOpening(h segment.Header, service string, agent netip.Addr) {
 	copies := s.openings.of(h.Flow)
