Logs tell how far a failed call for the configuration came

Reads of the store that failed were counted only, and neither the size of a configuration nor the bytes and the time of a failed call were known, so that a store that does not answer and a link that is too slow for the configuration looked alike.

Change: 'configuration not read' with the time, 'configuration not fetched' with version, bytes and time, 'configuration in force' with its size.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -158,7 +158,7 @@
 	}
 	c.keepEncoded(config, raw)
 	c.metrics.increment("configurations")
-	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.String("from", from),
+	c.log.Info("configuration in force", zap.Uint64("config", config.Version()), zap.Int("routes", config.Len()), zap.Int("bytes", len(raw)), zap.String("from", from),
 		zap.Duration("last-verified-ms", verifiedAgo), zap.Duration("heard-ms", c.takeHeard(config.Version())))
 	if config.Unreadable() > 0 {
 		c.metrics.increment("bad-configurations")
@@ -215,6 +215,7 @@
 	begin := c.now()
 	keys, err := c.readOperatorKeys(ctx)
 	if err != nil {
+		c.log.Warn("configuration not read", zap.Duration("took-ms", c.now()-begin), daemon.Err(err))
 		return err
 	}
 	return c.handleKeys(ctx, begin, keys)
@@ -442,6 +443,7 @@
 
 // fetch reads the configuration of another entry and applies it if it is newer.
 func (c *configSync) fetch(ctx context.Context, from peer.Addr) {
+	begin := c.now()
 	address := netip.AddrPortFrom(from.Addr(), c.settings.PeerPort+1)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+configPath, nil)
 	if err != nil {
@@ -450,13 +452,14 @@
 	}
 	resp, err := c.fetchClient.Do(req)
 	if err != nil {
-		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), daemon.Err(err))
+		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), zap.Duration("took-ms", c.now()-begin), daemon.Err(err))
 		return
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigBytes))
 	if err != nil || resp.StatusCode != http.StatusOK {
-		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), zap.Int("status", resp.StatusCode), daemon.Err(err))
+		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), zap.Int("status", resp.StatusCode),
+			zap.String("version", resp.Header.Get(versionHeader)), zap.Int("bytes", len(raw)), zap.Duration("took-ms", c.now()-begin), daemon.Err(err))
 		return
 	}
 	previous, err := previousVersion(resp.Header)
