A failing test of a configuration with many routes over slow links

TestLargeConfigurationDelay limits the rate of links in the virtual time of TestConfigurationDelay: responses under way share a link.

--- a/internal/fleet/config_delay_test.go
+++ b/internal/fleet/config_delay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -31,10 +32,14 @@
 const (
 	delayScripts       = "testdata/config-delay/*.txt"
 	failedDelayScripts = "testdata/config-delay-failed/*.txt"
+	largeDelayScripts  = "testdata/config-delay-large/*.txt"
 	delayPort          = 7000
 	// delayWarmup is the time before the first change, delayPause the least between two.
 	delayWarmup = 4 * time.Second
 	delayPause  = 12 * time.Second
+	// delayChunk is how much of a response passes a link at a time, in bytes: the responses under way
+	// share the link.
+	delayChunk = 16 << 10
 )
 
 type (
@@ -56,7 +61,11 @@
 		silent      bool // the store does not answer watches
 		lossy       bool // it does not answer every second read
 		reads       atomic.Uint32
+		links       map[int]*delayLink // of entries whose links are limited
+		routes      string             // further ones of each configuration, encoded
+		registered  bool               // the entries read the registrations
 		changes     int
+		before      time.Duration // from another change to each of these, 0 for none
 		bound       time.Duration
 
 		mu      sync.Mutex
@@ -69,6 +78,20 @@
 		index int
 	}
 
+	// delayLink is a link with a limited rate.
+	delayLink struct {
+		bytesPerSecond int
+		mu             sync.Mutex
+		freeAt         time.Time // when all that was sent has passed
+	}
+
+	// delayBody is the body of a response that passes links.
+	delayBody struct {
+		ctx   context.Context
+		rest  []byte
+		links []*delayLink
+	}
+
 	// delayTransport carries the calls of an entry to the store or to other entries.
 	delayTransport struct {
 		entry *delayEntry
@@ -90,7 +113,11 @@
 //	unreachable A B...      A cannot connect to the entries B
 //	silent-watches          the store does not answer watches
 //	lossy                   nor every second read
+//	link KBPS ENTRY...      the links of these carry that many kB a second, each way
+//	routes N                further routes in each configuration
+//	registrations KB        the registrations have that size; entries read them as unsettled ones do
 //	changes N               changes of the configuration
+//	before MS               another change precedes each of them by that time
 //	bound MS                from the store's acknowledgement until all entries have it in force
 func TestConfigurationDelay(t *testing.T) { playDelayScripts(t, delayScripts) }
 
@@ -98,6 +125,11 @@
 // testdata/config-delay-failed: the watches, two entries and all links fail at once.
 func TestConfigurationDelayOnSlowLinks(t *testing.T) { playDelayScripts(t, failedDelayScripts) }
 
+// TestLargeConfigurationDelay is TestConfigurationDelay with the scripts in
+// testdata/config-delay-large. It guards against entries that never have a configuration with many
+// routes in force, as the calls for it fill their links and are given up before any of them ends.
+func TestLargeConfigurationDelay(t *testing.T) { playDelayScripts(t, largeDelayScripts) }
+
 // playDelayScripts plays the scripts of a pattern.
 func playDelayScripts(t *testing.T, pattern string) {
 	t.Helper()
@@ -130,6 +162,7 @@
 	s := &delaySite{
 		t: t, random: rand.New(rand.NewPCG(50, 1)), store: kvstandin.New(), slow: make(map[int]time.Duration), away: make(map[int]string),
 		unreachable: make(map[[2]int]bool), mute: make(map[int]bool), apart: make(map[int]bool), inForce: make(map[uint64]map[int]time.Time), changes: 10,
+		links: make(map[int]*delayLink),
 	}
 	number := func(word string) int {
 		n, err := strconv.Atoi(word)
@@ -172,8 +205,19 @@
 			s.silent = true
 		case "lossy":
 			s.lossy = true
+		case "link":
+			for _, w := range words[2:] {
+				s.links[number(w)] = &delayLink{bytesPerSecond: number(words[1]) * 1000}
+			}
+		case "routes":
+			s.addRoutes(number(words[1]))
+		case "registrations":
+			s.registered = true
+			s.store.Set(holdersKey, make([]byte, number(words[1])*1000))
 		case "changes":
 			s.changes = number(words[1])
+		case "before":
+			s.before = time.Duration(number(words[1])) * time.Millisecond
 		case "bound":
 			s.bound = time.Duration(number(words[1])) * time.Millisecond
 		default:
@@ -222,11 +266,21 @@
 		for _, task := range []func(context.Context) error{e.watch, e.fetchLoop, e.verifyLoop, e.sayHello} {
 			running.Go(func() { _ = task(ctx) })
 		}
+		if s.registered {
+			running.Go(func() { e.readRegistrations(ctx) })
+		}
 	}
 	time.Sleep(delayWarmup)
-	for n := range s.changes {
+	version := uint64(1)
+	for range s.changes {
 		time.Sleep(delayPause + time.Duration(s.random.Int64N(int64(2*time.Second))))
-		version, acked := uint64(2+n), time.Now()
+		if s.before > 0 {
+			version++
+			s.setConfig(version)
+			time.Sleep(s.before)
+		}
+		version++
+		acked := time.Now()
 		s.setConfig(version)
 		time.Sleep(delayPause)
 		for _, e := range s.entries {
@@ -247,9 +301,61 @@
 
 // setConfig writes a configuration.
 func (s *delaySite) setConfig(version uint64) {
-	s.store.Set(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"s-%d"}]}`, version, version))
+	s.store.Set(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"s-%d"}%s]}`, version, version, s.routes))
+}
+
+// addRoutes adds routes to each configuration.
+func (s *delaySite) addRoutes(n int) {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `,{"name":"r-%07x","host":"198.18.%d.%d","prefix":"/%d/","route-type":"safe","timeout-ms":2000,"target-latency-ms":400,"priority":2,"service":"s-%03x","max-attempts":2}`,
+			s.random.Uint32N(1<<28), 1+i/250, 1+i%250, 80+s.random.Uint32N(2)*363, s.random.Uint32N(1<<12))
+	}
+	s.routes = b.String()
+}
+
+// linksOf returns the limited links between entries.
+func (s *delaySite) linksOf(entries ...int) []*delayLink {
+	var links []*delayLink
+	for _, n := range entries {
+		if l := s.links[n]; l != nil {
+			links = append(links, l)
+		}
+	}
+	return links
+}
+
+// reserve returns when n bytes more have passed the link.
+func (l *delayLink) reserve(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(n) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.freeAt
 }
 
+// Read implements io.Reader.
+func (b *delayBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(b.rest), len(p), delayChunk)
+	for _, l := range b.links {
+		sleep(b.ctx, time.Until(l.reserve(n)))
+	}
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	copy(p, b.rest[:n])
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *delayBody) Close() error { return nil }
+
 // recordChange records a new configuration and sends hello messages.
 func (e *delayEntry) recordChange() {
 	s, version := e.site, e.director.Config().Version()
@@ -268,6 +374,18 @@
 	return every(reportInterval, e.sendHellos)(ctx)
 }
 
+// readRegistrations reads the registrations until the context ends, with the pauses of
+// discoverProcesses in an entry that is not settled.
+func (e *delayEntry) readRegistrations(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := unsettledReadInterval
+		if _, err := e.readRegistry(ctx, false); err != nil {
+			pause = retryDelay
+		}
+		sleep(ctx, pause)
+	}
+}
+
 func (e *delayEntry) sendHellos() {
 	hello := peer.HelloMessage{Incarnation: 1, Ready: true}
 	e.describe(e.now(), &hello)
@@ -286,11 +404,11 @@
 // RoundTrip implements http.RoundTripper: it carries a call after the time that a connection takes.
 func (c *delayTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx, s, self := req.Context(), c.entry.site, c.entry.index
-	oneWay, handler := s.delay(self), http.Handler(s.store)
+	oneWay, handler, links := s.delay(self), http.Handler(s.store), s.linksOf(self)
 	blocked := strings.HasPrefix(req.URL.Path, "/kv-watch") && s.silent || s.away[self] == "silent"
 	blocked = blocked || s.lossy && strings.HasPrefix(req.URL.Path, "/kv-range") && s.reads.Add(1)%2 == 0
 	if n := slices.IndexFunc(s.entries, func(e *delayEntry) bool { return e.self.String() == req.URL.Hostname() }); n >= 0 {
-		oneWay, handler = s.delay(self, n), s.entries[n].handler(nil)
+		oneWay, handler, links = s.delay(self, n), s.entries[n].handler(nil), s.linksOf(self, n)
 		blocked = !s.reaches(self, n) || !s.reaches(n, self) || s.unreachable[[2]int{self, n}]
 	} else {
 		switch s.away[self] {
@@ -317,7 +435,9 @@
 		delete(c.open, req.URL.Host) // as the connection of a call that is given up
 		return nil, ctx.Err()
 	}
-	return rec.Result(), nil
+	resp := rec.Result()
+	resp.Body = &delayBody{ctx: ctx, rest: rec.Body.Bytes(), links: links}
+	return resp, nil
 }
 
 // connect waits for a connection to a host. As that of net/http, one that is set up after the call
