A large configuration comes into force over slow links: calls limited by progress, less to transfer

Cause: an entry with a link of 10 Mbit/s transferred a configuration of 0.7 MB in up to eight calls at a time: three fetches from other entries, three reads of the store by which it is verified, one for resets that wait, and a read of the registrations, which have an entry for each route. Each was given up after 2.5 s (1 s) with half of its bytes and begun anew, so that none ended while the link was full. The class: a time limit on a call whose duration depends on its size and on the other calls, and work that is thrown away for the limit.

Change: - internal/transfer: calls are given up if nothing arrives, not after a time; large responses pass the link one after the other. For the configuration, the registrations, saved flows, and calls to other entries. - Entries compress the configuration for each other (720 KB: 70 KB). - Of a large configuration an entry asks the store only whether it has changed, by a transaction with a condition and no writes; a version that was fetched brings its revision with it.

--- a/internal/fleet/config_delay_test.go
+++ b/internal/fleet/config_delay_test.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/kvstandin"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
@@ -233,13 +234,19 @@
 	p := &process{
 		settings: &platform.Settings{PeerPort: delayPort}, log: zap.NewNop(), self: delayAddress(n), started: time.Now(),
 		entries: newEntrySet(entryTimeout), eras: newEraSignal(),
-		store: platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), platform.WithTransport(&delayTransport{entry: e, open: make(map[string]bool)})),
+		lane: transfer.NewLane(),
 	}
+	p.store = platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), platform.WithTransport(e.newTransport(p.lane)))
 	e.configSync = newConfigSync(p, director.New(p.self, p.codec, &countingPort{}), e.recordChange, func([]string) {})
-	e.fetchClient.Transport = &delayTransport{entry: e, open: make(map[string]bool)}
+	e.client.Transport = e.newTransport(p.lane)
 	s.entries = append(s.entries, e)
 }
 
+// newTransport returns a transport for calls of the entry.
+func (e *delayEntry) newTransport(lane *transfer.Lane) http.RoundTripper {
+	return transfer.New(transfer.WithLane(lane), transfer.WithBase(&delayTransport{entry: e, open: make(map[string]bool)}))
+}
+
 func delayAddress(n int) peer.Addr { return peer.Addr{10, 1, 0, byte(n)} }
 
 // delayFrom returns the latency from or to an entry.
--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/route"
@@ -50,9 +51,9 @@
 	// maxReadAgo is the largest age, in milliseconds, of a read in a hello message that is used:
 	// one that overflows would lie in the future.
 	maxReadAgo = int64(time.Hour / time.Millisecond)
-	// configCallTimeout bounds a call for the configuration, to the store or to another entry. A
-	// full link holds packets for up to half a second each way, so that such a call takes two
-	// seconds if it needs a new connection.
+	// configCallTimeout bounds the time without progress of a call for the configuration, to the
+	// store or to another entry. A full link holds packets for up to half a second each way, so
+	// that the response begins after two seconds if it needs a new connection.
 	configCallTimeout = 2500 * time.Millisecond
 	// maxFetches bounds the fetches from other entries at a time, fetchStagger the time between the
 	// starts of two: the first entry may be one to which no connection can be set up.
@@ -83,6 +84,10 @@
 	configPath            = "/configuration"
 	versionHeader         = "Config-Version"
 	previousVersionHeader = "Config-Previous-Version"
+	// revisionHeader has the era and the number of the revision at which the store got the
+	// configuration.
+	revisionHeader = "Config-Revision"
+	revisionFormat = "%d/%d"
 )
 
 // configSync keeps the newest configuration and the evacuated failure domains in force.
@@ -92,18 +97,17 @@
 	*process
 	director       *director.Director
 	evacuations    *evacuations
-	client         *http.Client
 	mu             sync.Mutex
-	raw            []byte            // encoded form of the configuration in force, see encoded
-	rawVersion     uint64            // its version
+	encodedForm    *encodedConfig    // of the configuration in force, see encoded
 	revision       platform.Revision // of the store, from which the watch continues; zero if it begins with a read
 	watchedVersion uint64            // of the configuration as of revision, 0 if unknown
+	stored         *storedConfig     // the configuration in force in the store, nil if not known
 	newestHeard    uint64            // newest version that another entry has named
 	newestHeardAt  time.Duration     // when newestHeard was set
 	newerHeardAt   time.Duration     // when another entry first named a newer version than the one in force; 0 if none has
 	unverifiedAt   atomic.Int64      // now() when the last verification became void; 0 at the start
 	newerFrom      chan peer.Addr    // entry from which to fetch a newer configuration
-	fetchClient    *http.Client      // for these fetches
+	client         *http.Client      // for calls to other entries
 	holdersPending chan struct{}     // not empty while the flow holders must be written
 	confirmWanted  chan struct{}     // not empty while resets wait for a verification of the configuration
 	onChange       func()            // announces a new configuration to the other entries
@@ -115,9 +119,9 @@
 // after each new configuration, onEvacuation after each change of the evacuated domains.
 func newConfigSync(p *process, d *director.Director, onChange func(), onEvacuation func(domains []string)) *configSync {
 	return &configSync{
-		process: p, director: d, onChange: onChange, onEvacuation: onEvacuation, client: &http.Client{Timeout: storeTimeout},
+		process: p, director: d, onChange: onChange, onEvacuation: onEvacuation,
 		evacuations:    newEvacuations(p, d.SetEvacuated, func(string) bool { return true }),
-		fetchClient:    &http.Client{Timeout: configCallTimeout},
+		client:         &http.Client{Transport: transfer.New(transfer.WithLane(p.lane))},
 		holdersPending: make(chan struct{}, 1), newerFrom: make(chan peer.Addr, 1), confirmWanted: make(chan struct{}, 1),
 	}
 }
@@ -168,6 +172,29 @@
 	c.onChange()
 }
 
+// keepStored records the revision at which the store got a version, if that is in force and its
+// encoded form is large.
+func (c *configSync) keepStored(size int, version uint64, revision platform.Revision) {
+	config := c.director.Config()
+	if size < minConditionalBytes || revision.Number == 0 || config == nil || config.Version() != version {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored = &storedConfig{config: config, revision: revision}
+}
+
+// storedInForce returns the revision of the configuration in force, nil if it is not known or the
+// configuration is not large.
+func (c *configSync) storedInForce() *storedConfig {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stored == nil || c.stored.config != c.director.Config() {
+		return nil
+	}
+	return c.stored
+}
+
 // takeHeard returns the time since another entry first named a newer version than the one that
 // was in force until now, 0 if none has.
 func (c *configSync) takeHeard(version uint64) time.Duration {
@@ -189,19 +216,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.director.Config() == config {
-		c.raw, c.rawVersion = raw, config.Version()
+		c.encodedForm = newEncodedConfig(raw, config.Version())
 	}
 }
 
-// encoded returns the encoded form of the configuration in force and its version. It returns nil
-// before the first, and while that of a newer one is about to be kept.
-func (c *configSync) encoded() ([]byte, uint64) {
+// encoded returns the encoded form of the configuration in force. It returns nil before the first,
+// and while that of a newer one is about to be kept.
+func (c *configSync) encoded() *encodedConfig {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if config := c.director.Config(); config == nil || config.Version() != c.rawVersion {
-		return nil, 0
+	config := c.director.Config()
+	if config == nil || c.encodedForm == nil || config.Version() != c.encodedForm.version {
+		return nil
 	}
-	return c.raw, c.rawVersion
+	return c.encodedForm
 }
 
 // read reads the evacuated failure domains and the configuration from the store and applies
@@ -210,7 +238,7 @@
 // from an older copy. If it applies both, the configuration in force is verified as of the
 // start of the call.
 func (c *configSync) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	ctx, cancel := transfer.WithStallTimeout(ctx, configCallTimeout)
 	defer cancel()
 	begin := c.now()
 	keys, err := c.readOperatorKeys(ctx)
@@ -232,7 +260,10 @@
 		c.beginWatch(keys.revision, 0)
 		return platform.ErrNotFound
 	}
-	config, err := c.decode(keys.config, storeSource)
+	config, err := keys.unchanged, error(nil)
+	if config == nil {
+		config, err = c.decode(keys.config, storeSource)
+	}
 	if err != nil {
 		c.beginWatch(keys.revision, 0)
 		return err
@@ -247,6 +278,7 @@
 		wait = c.beginCatchUp(ctx, config.Version())
 	}
 	c.putInForce(config, keys.config, storeSource, 0)
+	c.keepStored(len(keys.config), config.Version(), keys.configRevision)
 	wait()
 	if begin >= peerAnswerTime && c.director.Config().Version() == config.Version() {
 		c.director.MarkVerified(begin)
@@ -443,20 +475,23 @@
 
 // fetch reads the configuration of another entry and applies it if it is newer.
 func (c *configSync) fetch(ctx context.Context, from peer.Addr) {
+	callCtx, cancel := transfer.WithStallTimeout(ctx, configCallTimeout)
+	defer cancel()
 	begin := c.now()
 	address := netip.AddrPortFrom(from.Addr(), c.settings.PeerPort+1)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+configPath, nil)
+	req, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+address.String()+configPath, nil)
 	if err != nil {
 		c.log.Error("request of a configuration not created", daemon.Err(err))
 		return
 	}
-	resp, err := c.fetchClient.Do(req)
+	req.Header.Set("Accept-Encoding", compression)
+	resp, err := c.client.Do(req)
 	if err != nil {
 		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), zap.Duration("took-ms", c.now()-begin), daemon.Err(err))
 		return
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigBytes))
+	raw, err := readConfig(resp)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		c.log.Warn("configuration not fetched", zap.Stringer("entry", from), zap.Int("status", resp.StatusCode),
 			zap.String("version", resp.Header.Get(versionHeader)), zap.Int("bytes", len(raw)), zap.Duration("took-ms", c.now()-begin), daemon.Err(err))
@@ -468,7 +503,23 @@
 	}
 	if err := c.apply(raw, from.String(), previous); err != nil {
 		c.log.Warn("configuration of another entry not applied", zap.Stringer("entry", from), daemon.Err(err))
+		return
 	}
+	c.keepFetchedRevision(resp.Header, len(raw))
+}
+
+// keepFetchedRevision records the revision of a configuration that was fetched from another entry,
+// if that entry knows it. What is not readable counts as unknown: the configuration is read then.
+func (c *configSync) keepFetchedRevision(h http.Header, size int) {
+	version, err := strconv.ParseUint(h.Get(versionHeader), 10, 64)
+	if err != nil {
+		return
+	}
+	var revision platform.Revision
+	if _, err := fmt.Sscanf(h.Get(revisionHeader), revisionFormat, &revision.Era, &revision.Number); err != nil {
+		return
+	}
+	c.keepStored(size, version, revision)
 }
 
 // previousVersion returns the version that a fetched configuration has followed, 0 if the
@@ -490,16 +541,19 @@
 	mux.HandleFunc("GET "+flowsPartPath, c.serveFlows)
 	mux.HandleFunc("PUT "+flowsPath, collector.serve)
 	mux.HandleFunc("PUT "+flowsPartPath, collector.serve)
-	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
-		raw, version := c.encoded()
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, req *http.Request) {
+		encoded := c.encoded()
 		previous := c.director.PreviousVersion() // read later: that of an older version would hide one
-		if raw == nil {
+		if encoded == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		w.Header().Set(versionHeader, strconv.FormatUint(version, 10))
+		w.Header().Set(versionHeader, strconv.FormatUint(encoded.version, 10))
 		w.Header().Set(previousVersionHeader, strconv.FormatUint(previous, 10))
-		if _, err := w.Write(raw); err != nil {
+		if stored := c.storedInForce(); stored != nil && stored.config.Version() == encoded.version {
+			w.Header().Set(revisionHeader, fmt.Sprintf(revisionFormat, stored.revision.Era, stored.revision.Number))
+		}
+		if err := encoded.write(w, req); err != nil {
 			return // the client has closed the connection
 		}
 	})
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/platform"
 )
@@ -21,8 +22,8 @@
 	// watchDelay is the pause between two watches; it merges changes in quick
 	// succession into one call.
 	watchDelay = 150 * time.Millisecond
-	// catchUpTimeout bounds the request for the configurations before one that was read, and
-	// catchUpWait the time by which it delays that one.
+	// catchUpTimeout bounds the time without progress of the request for the configurations before
+	// one that was read, and catchUpWait the time by which it delays that one.
 	catchUpTimeout = 300 * time.Millisecond
 	catchUpWait    = 100 * time.Millisecond
 	// replayWait is the wait of a watch for changes that the store has already.
@@ -91,7 +92,7 @@
 			return err // the next watch returns the events again
 		}
 	}
-	version, err = c.applyEvents(events.Events, version)
+	version, err = c.applyEvents(events.Events, events.AsOf.Era, version)
 	c.advance(after, events.AsOf, version)
 	return err
 }
@@ -99,7 +100,7 @@
 // readEvacuation is read, but returns an error only if the evacuated failure domains are not
 // known: that of a configuration that cannot be applied is logged.
 func (c *configSync) readEvacuation(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	ctx, cancel := transfer.WithStallTimeout(ctx, configCallTimeout)
 	defer cancel()
 	begin := c.now()
 	keys, err := c.readOperatorKeys(ctx)
@@ -112,11 +113,11 @@
 	return nil
 }
 
-// applyEvents applies the configurations of a watch in their order. version is that of the
+// applyEvents applies the configurations of a watch in an era in their order. version is that of the
 // configuration before them, 0 if unknown. It returns the version after them, 0 if unknown,
 // and an error if the last one cannot be decoded. An event whose key cannot be read may be one
 // of a configuration.
-func (c *configSync) applyEvents(events []platform.Item, version uint64) (uint64, error) {
+func (c *configSync) applyEvents(events []platform.Item, era, version uint64) (uint64, error) {
 	var failure error
 	for _, e := range events {
 		if e.Key == "" {
@@ -132,6 +133,7 @@
 			continue
 		}
 		c.putInForce(config, e.Value, storeSource, version)
+		c.keepStored(len(e.Value), config.Version(), platform.Revision{Era: era, Number: e.Revision})
 		c.requestHoldersWrite() // the coverage has changed even if no service was added
 		version = config.Version()
 	}
@@ -164,14 +166,14 @@
 	if after == (platform.Revision{}) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	ctx, cancel := transfer.WithStallTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	c.metrics.increment("store-watches")
 	events, err := c.store.Watch(ctx, platform.OperatorPrefix, after, replayWait)
 	if err != nil {
 		return err
 	}
-	if version, err = c.applyEvents(events.Events, version); err != nil {
+	if version, err = c.applyEvents(events.Events, events.AsOf.Era, version); err != nil {
 		return err
 	}
 	if !slices.ContainsFunc(events.Events, requestsEvacuation) { // those are left to the watch
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"hickoryhook.example/pkg/evacuation"
 	"hickoryhook.example/pkg/peer"
+	"hickoryhook.example/pkg/route"
 	"hickoryhook.example/platform"
 )
 
@@ -53,6 +55,10 @@
 		hasConfig bool
 		config    []byte // encoded
 		evacuated []string
+		// configRevision is the revision of the last change of the configuration, unchanged its
+		// decoded form if that is the one of the last read, in place of config.
+		configRevision platform.Revision
+		unchanged      *route.Config
 	}
 )
 
@@ -148,16 +154,45 @@
 }
 
 // readOperatorKeys reads the configuration and the requests for evacuations. It returns the
-// revision of the first page, as a watch from there misses no change.
+// revision of the first page, as a watch from there misses no change. Of a large configuration it
+// reads only whether it has changed, if its revision is known.
 func (c *configSync) readOperatorKeys(ctx context.Context) (operatorKeys, error) {
+	known := c.storedInForce()
+	if known == nil {
+		return c.readOperatorPages(ctx, "")
+	}
+	keys, err := c.readOperatorPages(ctx, platform.ConfigKey)
+	if err != nil {
+		return operatorKeys{}, err
+	}
+	c.metrics.increment("store-checks")
+	item, revision, changed, err := c.store.GetIfChanged(ctx, platform.ConfigKey, known.revision)
+	switch {
+	case c.store.Era() != keys.revision.Era:
+		return operatorKeys{}, platform.ErrEraEnded
+	case errors.Is(err, platform.ErrNotFound):
+		return keys, nil
+	case err != nil:
+		return operatorKeys{}, err
+	case changed:
+		c.addOperatorItem(&keys, item)
+	default:
+		keys.hasConfig, keys.unchanged = true, known.config
+	}
+	keys.configRevision = revision
+	return keys, nil
+}
+
+// readOperatorPages reads the operators' keys that follow a key, "" for all of them.
+func (c *configSync) readOperatorPages(ctx context.Context, after string) (operatorKeys, error) {
 	var keys operatorKeys
-	for after := ""; ; {
+	for first := true; ; first = false {
 		c.metrics.increment("store-reads")
 		page, err := c.store.Range(ctx, platform.OperatorPrefix, after, false)
 		if err != nil {
 			return operatorKeys{}, err
 		}
-		if after == "" {
+		if first {
 			keys.revision = page.AsOf
 		}
 		if page.AsOf.Era != keys.revision.Era {
@@ -165,7 +200,9 @@
 		}
 		for _, item := range page.Items {
 			c.addOperatorItem(&keys, item)
-			after = item.Key
+			if after = item.Key; after == platform.ConfigKey {
+				keys.configRevision = platform.Revision{Era: page.AsOf.Era, Number: item.Revision}
+			}
 		}
 		if page.Unnamed > 0 {
 			c.keepEvacuated(&keys)
--- a/internal/fleet/holders.go
+++ b/internal/fleet/holders.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.applyEvents(events.Events, record.Through)
+	_, err = c.applyEvents(events.Events, events.AsOf.Era, record.Through)
 	c.logHolders(storeSource)
 	return err
 }
--- a/internal/fleet/peerregistry.go
+++ b/internal/fleet/peerregistry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/jsonparts"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
@@ -135,8 +137,14 @@
 // maxConfigBytes. It returns platform.ErrNotFound for status 404, and another error
 // for any other status but 200.
 func (e *Entry) getFromEntry(from peer.Addr, path string) ([]byte, error) {
+	ctx, cancel := transfer.WithStallTimeout(context.Background(), storeTimeout)
+	defer cancel()
 	address := netip.AddrPortFrom(from.Addr(), e.settings.PeerPort+1)
-	resp, err := e.config.client.Get("http://" + address.String() + path)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch from entry")
+	}
+	resp, err := e.config.client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "fetch from entry")
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
 	"hickoryhook.example/platform"
@@ -66,7 +67,8 @@
 	// receiveRetryDelay is the pause after a failed read of a socket.
 	receiveRetryDelay = time.Millisecond
 	// storeTimeout bounds the calls to the store of one operation, except a watch
-	// and the last call of an entry, and bounds an HTTP call to another entry. A
+	// and the last call of an entry. Of a read whose response may be large and of an
+	// HTTP call to another entry it bounds the time without progress. A
 	// call to the store usually takes 4 ms, and 60 times as long when it is slow.
 	storeTimeout = time.Second
 	// fastStartInterval is the interval of hello messages and reports at the
@@ -85,8 +87,9 @@
 		started  time.Time    // its Unix milliseconds are the incarnation in messages
 		peerConn *net.UDPConn // socket for datagrams between processes
 		store    *platform.Store
-		eras     *eraSignal // of the store
-		onNewEra func()     // called when a new era begins, before the tasks are woken
+		eras     *eraSignal     // of the store
+		lane     *transfer.Lane // of large responses to this process
+		onNewEra func()         // called when a new era begins, before the tasks are woken
 		entries  *entrySet
 		codec    platform.PacketCodec
 		metrics  metrics
@@ -139,11 +142,12 @@
 		self:     peer.NewAddr(s.Address),
 		started:  time.Now(),
 		eras:     newEraSignal(),
+		lane:     transfer.NewLane(),
 		onNewEra: func() {},
 		entries:  newEntrySet(entryTimeout),
 		gauges:   make(map[string]func() any),
 	}
-	p.store = platform.NewStore(s.StoreAddress, platform.WithNewEra(p.handleNewEra))
+	p.store = platform.NewStore(s.StoreAddress, platform.WithNewEra(p.handleNewEra), platform.WithTransport(transfer.New(transfer.WithLane(p.lane))))
 	for _, o := range options {
 		o(p)
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/platform"
 )
@@ -64,7 +65,7 @@
 // readRegistry reads the registrations. A stale read is cheaper for the store,
 // but may return data that is seconds old.
 func (p *process) readRegistry(ctx context.Context, stale bool) (registry, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := transfer.WithStallTimeout(ctx, storeTimeout)
 	defer cancel()
 	var r registry
 	after, unnamed := "", 0
--- a/internal/fleet/saved_flows.go
+++ b/internal/fleet/saved_flows.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"hickoryhook.example/internal/daemon"
+	"hickoryhook.example/internal/transfer"
 	"hickoryhook.example/pkg/director"
 	"hickoryhook.example/pkg/peer"
 	"hickoryhook.example/pkg/segment"
@@ -206,7 +207,7 @@
 // readFlows reads the saved flows under a key from the store. It returns
 // platform.ErrNotFound if there are none.
 func (p *process) readFlows(ctx context.Context, key string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := transfer.WithStallTimeout(ctx, storeTimeout)
 	defer cancel()
 	p.metrics.increment("store-reads")
 	item, _, err := p.store.Get(ctx, key)
--- a/internal/kvstandin/store.go
+++ b/internal/kvstandin/store.go
@@ -414,6 +414,9 @@
 			return http.StatusNotFound, nil
 		}
 	}
+	if len(t.Writes)+len(t.Remove) == 0 {
+		return http.StatusOK, map[string]any{"rev": s.revision}
+	}
 	s.saveCopy()
 	s.revision++
 	for _, w := range t.Writes {
