The soak writes configurations with many routes

Cause: no test with processes had a configuration of more than a few routes, so that the ways in which entries transfer and verify a large one were in none with restores of the store, evacuations and restarts.

--- a/internal/fleetdemo/moves.go
+++ b/internal/fleetdemo/moves.go
@@ -65,6 +65,11 @@
 	for v, to := range routes {
 		docs = append(docs, map[string]any{"name": v.String(), "host": v.Addr().String(), "prefix": fmt.Sprintf("/%d/", v.Port()), "service": to})
 	}
+	for n := range s.routes {
+		docs = append(docs, map[string]any{
+			"name": fmt.Sprintf("further-%d", n), "host": fmt.Sprintf("198.19.%d.%d", n>>8, n&0xff), "prefix": "/443/", "service": service,
+		})
+	}
 	encoded, err := json.Marshal(map[string]any{"version": c.version + step, "routes": docs})
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -92,6 +92,8 @@
 		judge configJudge
 		// moves is set if the route moves between services during the run.
 		moves bool
+		// routes is the number of further routes in each configuration.
+		routes int
 		// flaps and lateHeartbeats are those of SoakConfig, heartbeats is the interval of the
 		// upstreams' heartbeats.
 		flaps, lateHeartbeats bool
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -54,6 +54,8 @@
 		// Moves moves the route to another service, that of every second upstream, and back at
 		// random times, also after the last fault. The version rises in uneven steps.
 		Moves bool
+		// Routes is the number of further routes in each configuration, which nobody uses.
+		Routes int
 		// Flaps restarts upstreams in quick succession, under a new id each time, and makes
 		// them slow, while entries and agents restart in turn or together, and agents are paused
 		// over a restart of their upstream. The seed also
@@ -117,7 +119,7 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
-	s.moves, s.flaps, s.lateHeartbeats = c.Moves, c.Flaps, c.LateHeartbeats
+	s.moves, s.flaps, s.lateHeartbeats, s.routes = c.Moves, c.Flaps, c.LateHeartbeats, c.Routes
 	if c.Flaps {
 		s.heartbeats = flapHeartbeats[c.Seed%uint64(len(flapHeartbeats))]
 		s.modulo = c.Seed%2 == 1
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -33,6 +33,8 @@
                  upstream, and withdraws it every few seconds
   -moves         moves the route to another service, that of every second upstream,
                  and back in quick succession or after some seconds, until the end
+  -routes N      with -moves, up to 8000 further routes in each configuration, which nobody
+                 uses: entries transfer and verify a large one in other ways than a small one
   -flaps         upstreams flap, each start under a new id, and turn slow, while entries
                  and agents restart in turn or together, and agents are paused over a
                  restart of their upstream; callers pause between requests
@@ -47,6 +49,9 @@
                  if another run uses it
 `
 
+// maxSoakRoutes bounds the further routes: a value of the store has at most 1 MiB.
+const maxSoakRoutes = 8000
+
 type platformSoakRunner struct {
 	streams       ioStreams
 	seed          uint64
@@ -54,6 +59,7 @@
 	storeRestores bool
 	evacuations   bool
 	moves         bool
+	routes        int
 	flaps         bool
 	late          bool
 	callers       int
@@ -71,6 +77,7 @@
 	flags.BoolVar(&r.storeRestores, "store-restores", false, "")
 	flags.BoolVar(&r.evacuations, "evacuations", false, "")
 	flags.BoolVar(&r.moves, "moves", false, "")
+	flags.IntVar(&r.routes, "routes", 0, "")
 	flags.BoolVar(&r.flaps, "flaps", false, "")
 	flags.BoolVar(&r.late, "late-heartbeats", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
@@ -84,6 +91,12 @@
 	if r.late && !r.flaps {
 		return nil, &usageError{err: errors.New("platform soak: -late-heartbeats needs -flaps")}
 	}
+	if r.routes > 0 && !r.moves {
+		return nil, &usageError{err: errors.New("platform soak: -routes needs -moves")}
+	}
+	if r.routes < 0 || r.routes > maxSoakRoutes {
+		return nil, &usageError{err: errors.Errorf("platform soak: want 0 to %d further routes", maxSoakRoutes)}
+	}
 	if r.callers < 1 || r.callers > maxDemoCallers || r.network < 1 || r.network > maxNetwork {
 		return nil, &usageError{err: errDemoRange}
 	}
@@ -115,7 +128,7 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, Flaps: r.flaps, LateHeartbeats: r.late,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, Routes: r.routes, Flaps: r.flaps, LateHeartbeats: r.late,
 		HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
