An entry's metrics begin with its configuration

Change: about, the first value, has the version in force, the newest version heard of, the age of the last verification, ready and settled.

--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -195,6 +195,13 @@
 	return c.stored
 }
 
+// newestNamed returns the newest version that another entry has named, 0 if none has.
+func (c *configSync) newestNamed() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newestHeard
+}
+
 // takeHeard returns the time since another entry first named a newer version than the one that
 // was in force until now, 0 if none has.
 func (c *configSync) takeHeard(version uint64) time.Duration {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -110,6 +110,7 @@
 		{"check era of store", e.checkEra},
 		e.httpTask(netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort+1), e.config.handler(e.flowCollector)),
 		e.metricsTask(map[string]func() any{
+			"about":          func() any { return e.about() },
 			"agents":         func() any { return e.director.Status(e.now()) },
 			"config-version": e.configVersion,
 			"evacuation":     e.config.evacuations.state,
@@ -291,6 +292,25 @@
 	return nil
 }
 
+// aboutEntry is the head of an entry's metrics.
+type aboutEntry struct {
+	ConfigVersion any    `json:"config-version"`
+	NewestHeard   uint64 `json:"newest-heard"` // version that another entry has named, 0 if none has
+	VerifiedMS    int64  `json:"verified-ms"`  // since the version in force was known to be the newest
+	Ready         bool   `json:"ready"`
+	Settled       bool   `json:"settled"`
+}
+
+// about returns what is looked at first. It comes first in the metrics, as their readers may cut them
+// off: the list of agents alone takes many kilobytes.
+func (e *Entry) about() aboutEntry {
+	a := aboutEntry{ConfigVersion: e.configVersion(), NewestHeard: e.config.newestNamed(), VerifiedMS: neverVerified, Ready: e.ready(), Settled: e.director.Settled(e.now())}
+	if ago, ok := e.director.VerifiedAgo(e.now()); ok {
+		a.VerifiedMS = ago.Milliseconds()
+	}
+	return a
+}
+
 // configVersion returns the version of the configuration in force, nil before
 // the first.
 func (e *Entry) configVersion() any {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,10 +1,12 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -233,6 +235,18 @@
 	return vars[name]
 }
 
+// gaugeBefore reports whether a value of a process's metrics precedes another one.
+func (s *testSite) gaugeBefore(host byte, name, other string) bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/debug/vars", s.ip(host), fleet.MetricsPort))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	at := bytes.Index(page, fmt.Appendf(nil, "%q", name))
+	return err == nil && at >= 0 && at < bytes.Index(page, fmt.Appendf(nil, "%q", other))
+}
+
 // TestEntryAndAgentOverLoopback runs an entry and an agent with their sockets
 // against the stand-in of the store. It covers a route that is added, an upstream
 // that drains, and a store that fails.
@@ -255,6 +269,8 @@
 	s.sendHeartbeat("ready", 1)
 	s.eventually("the entry is ready", s.ready)
 	s.sendHeartbeat("ready", 2) // due meanwhile: without it the agent takes the upstream for ended
+	is.True(s.gaugeBefore(1, "about", "agents")) // a reader may cut off what follows the agents
+	is.Equal(s.gauge(1, "about").(map[string]any)["config-version"], 1.0)
 	receiver, flags := s.openFlow(vipText, 2001)
 	is.Equal(receiver, "upstream")
 	is.Equal(flags, byte(2)) // open
