--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -268,7 +268,7 @@
 
 	s.sendHeartbeat("ready", 1)
 	s.eventually("the entry is ready", s.ready)
-	s.sendHeartbeat("ready", 2) // due meanwhile: without it the agent takes the upstream for ended
+	s.sendHeartbeat("ready", 2)                  // due meanwhile: without it the agent takes the upstream for ended
 	is.True(s.gaugeBefore(1, "about", "agents")) // a reader may cut off what follows the agents
 	is.Equal(s.gauge(1, "about").(map[string]any)["config-version"], 1.0)
 	receiver, flags := s.openFlow(vipText, 2001)
