--- a/internal/fleet/configsync.go
+++ b/internal/fleet/configsync.go
@@ -267,10 +267,7 @@
 		c.beginWatch(keys.revision, 0)
 		return platform.ErrNotFound
 	}
-	config, err := keys.unchanged, error(nil)
-	if config == nil {
-		config, err = c.decode(keys.config, storeSource)
-	}
+	config, err := c.decodeKeys(keys)
 	if err != nil {
 		c.beginWatch(keys.revision, 0)
 		return err
@@ -293,6 +290,14 @@
 	return nil
 }
 
+// decodeKeys returns the configuration of a read, which is already decoded if it has not changed.
+func (c *configSync) decodeKeys(keys operatorKeys) (*route.Config, error) {
+	if keys.unchanged != nil {
+		return keys.unchanged, nil
+	}
+	return c.decode(keys.config, storeSource)
+}
+
 // handleNewEra makes the verification of the configuration void and requests a write of the
 // flow holders, when the store has come back from an older copy.
 func (c *configSync) handleNewEra() {
