--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -13,12 +13,25 @@
 	"time"
 )
 
-const service = "svc-a"
+const (
+	service = "svc-a"
+	// coldStart is how long an endpoint is cold, and coldPerSecond what it bears meanwhile.
+	coldStart     = 2 * time.Second
+	coldPerSecond = 20
+	// coldLoad is the number of flows that consumers open in a second while endpoints are cold.
+	coldLoad = 130
+	// powerIsBack is how long the machines are without power.
+	powerIsBack = time.Second
+)
 
 // config returns a configuration with one route to the service.
-func config(network byte, kind string) string {
-	return fmt.Sprintf(`{"version":7,"routes":[{"name":"r-1","host":%q,"prefix":"/8080/","route-type":%q,"timeout-ms":2500,"target-latency-ms":250,"priority":1,"service":%q,"max-attempts":2}],"services":[{"name":%q,"health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`,
-		routeAt(network, 1).Addr(), kind, service, service)
+func config(network byte, kind string, b bounds) string {
+	cold := ""
+	if b.coldOverage > 0 {
+		cold = fmt.Sprintf(`,"cold-start-s":%g,"cold-per-s":%d`, coldStart.Seconds(), coldPerSecond)
+	}
+	return fmt.Sprintf(`{"version":7,"routes":[{"name":"r-1","host":%q,"prefix":"/8080/","route-type":%q,"timeout-ms":2500,"target-latency-ms":250,"priority":1,"service":%q,"max-attempts":2}],"services":[{"name":%q,"health-path":"/health","max-conns":2000,"protocol":"h1","tls":false%s}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`,
+		routeAt(network, 1).Addr(), kind, service, service, cold)
 }
 
 // deployment is a site with two entries and three endpoints, in rotation.
@@ -36,8 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s.store.set("op/config", []byte(config(s.network, kind)))
-	r.add("the operator writes %s", config(s.network, kind))
+	s.store.set("op/config", []byte(config(s.network, kind, b)))
+	r.add("the operator writes %s", config(s.network, kind, b))
 	d := &deployment{site: s}
 	if d.consumers, err = s.newConsumers(); err != nil {
 		return d, err
@@ -58,7 +71,7 @@
 		if int(n) >= endpoints {
 			continue
 		}
-		e, err := s.startEndpoint(m, s.at(m.host, portControl))
+		e, err := s.startEndpoint(m, s.at(m.host, portControl), 0, 1)
 		if err != nil {
 			return d, err
 		}
@@ -227,7 +240,7 @@
 	until := func(at time.Duration) { time.Sleep(time.Until(begun.Add(at))) }
 	if trouble {
 		proxy.setCut(true)
-		first, err := d.startEndpoint(m, proxy.address())
+		first, err := d.startEndpoint(m, proxy.address(), 0, 1)
 		if err != nil {
 			return err
 		}
@@ -237,7 +250,7 @@
 		proxy.setCut(false)
 	}
 	until(latePingHeals + 100*time.Millisecond)
-	second, err := d.startEndpoint(m, proxy.address())
+	second, err := d.startEndpoint(m, proxy.address(), 0, 1)
 	if err != nil {
 		return err
 	}
@@ -356,3 +369,127 @@
 	}
 	return nil
 }
+
+// playFirstPing lets a partition delay the first ping of an endpoint, which numbers its pings from
+// 0. It arrives when the endpoint drains.
+func playFirstPing(r *record, trouble bool) error {
+	d, err := deploy(r, brathwaite, "unsafe", 2)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return err
+	}
+	m := d.agents[2]
+	proxy, err := newDelayingProxy(r, netip.AddrPortFrom(d.host(6, 1), firstPort), d.at(m.host, portControl))
+	if err != nil {
+		return err
+	}
+	defer proxy.listener.Close()
+	stop, loadEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(loadEnded)
+		d.consumers.load(d.route(1), 50, stop)
+	}()
+	if trouble {
+		proxy.setCut(true)
+	}
+	e, err := d.startEndpoint(m, proxy.address(), 0, 0)
+	if err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		proxy.setCut(false)
+	}
+	time.Sleep(d.bounds.stable + 1500*time.Millisecond)
+	acknowledged, ok := e.drain()
+	if !ok {
+		return errors.New("the draining endpoint got no acknowledgement")
+	}
+	time.Sleep(d.bounds.drain + 800*time.Millisecond)
+	proxy.release()
+	time.Sleep(3 * time.Second)
+	close(stop)
+	<-loadEnded
+	e.leave()
+	return d.judgeDrain(e, acknowledged)
+}
+
+// playPowerOff starts an endpoint during traffic, and later lets all machines lose power. The
+// endpoints are cold when they are back.
+func playPowerOff(r *record, trouble bool) error {
+	d, err := deploy(r, stavplan, "unsafe", 2)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return err
+	}
+	stop, loadEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(loadEnded)
+		d.consumers.load(d.route(1), coldLoad, stop)
+	}()
+	time.Sleep(d.bounds.stable)
+	e, err := d.startEndpoint(d.agents[2], d.at(d.agents[2].host, portControl), coldStart, 1)
+	if err != nil {
+		return err
+	}
+	d.endpoints = append(d.endpoints, e)
+	cold := []*endpoint{e}
+	time.Sleep(2 * coldStart)
+	if trouble {
+		if err := d.losePower(); err != nil {
+			return err
+		}
+		cold = append(cold, d.endpoints...)
+	}
+	time.Sleep(2 * coldStart)
+	close(stop)
+	<-loadEnded
+	r.add("consumers: %v", d.consumers.results)
+	limit := int(coldPerSecond*d.bounds.coldOverage + d.bounds.coldSlack)
+	broken := 0
+	for _, e := range cold {
+		most := d.consumers.mostWithin(time.Second, e.takenBefore(e.started+coldStart))
+		r.add("endpoint %s on %s: %d openings were sent and taken within a second while it was cold, the limit is %d", e.id, e.name, most, limit)
+		if most > limit {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errBroken(fmt.Sprintf("FAILBACK: %d cold endpoints got more than %d requests within a second", broken, limit))
+	}
+	return nil
+}
+
+// losePower ends all processes and endpoints at once, and starts them again after powerIsBack.
+func (d *deployment) losePower() error {
+	d.record.add("all machines lose power")
+	for _, m := range d.machines {
+		_ = m.cmd.Process.Kill()
+	}
+	for i, e := range d.endpoints {
+		<-d.machines[i].ended
+		e.crash()
+	}
+	for _, m := range d.machines {
+		<-m.ended
+	}
+	time.Sleep(powerIsBack)
+	d.endpoints = nil
+	for _, m := range d.machines {
+		if err := d.start(m); err != nil {
+			return err
+		}
+	}
+	for _, m := range d.agents {
+		e, err := d.startEndpoint(m, d.at(m.host, portControl), coldStart, 1)
+		if err != nil {
+			return err
+		}
+		d.endpoints = append(d.endpoints, e)
+	}
+	return nil
+}
--- a/review/rig2/consumer.go
+++ b/review/rig2/consumer.go
@@ -34,6 +34,7 @@
 		flows    map[uint16]*flow
 		nextPort uint16
 		results  map[string]int
+		sent     map[flowKey][]time.Duration // when the SYN of each flow and its copies were sent
 		forged   int
 	}
 
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &consumers{site: s, conn: conn, flows: map[uint16]*flow{}, nextPort: 20000, results: map[string]int{}}
+	c := &consumers{site: s, conn: conn, flows: map[uint16]*flow{}, nextPort: 20000, results: map[string]int{}, sent: map[flowKey][]time.Duration{}}
 	go c.receive()
 	return c, nil
 }
@@ -125,6 +126,7 @@
 	begun := time.Now()
 	copies := []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 	for n := range 3 {
+		f.c.recordSent(f.key())
 		f.send(flagOpen, start, uint32(n), nil)
 		for timeout := time.After(time.Until(begun.Add(copies[n+1]))); ; {
 			select {
@@ -271,3 +273,32 @@
 	fmt.Fprint(h, key.consumer, key.route, entry)
 	return h.Sum64()
 }
+
+// recordSent records that the next SYN of a flow is sent now.
+func (c *consumers) recordSent(key flowKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[key] = append(c.sent[key], c.site.record.now())
+}
+
+// sentAt returns when the SYN that an endpoint took was sent.
+func (c *consumers) sentAt(o opening) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[o.flow][o.number]
+}
+
+// mostWithin returns the largest number of openings that were sent and taken within the same d.
+func (c *consumers) mostWithin(d time.Duration, openings []opening) int {
+	most := 0
+	for _, first := range openings {
+		begin, n := c.sentAt(first), 0
+		for _, o := range openings {
+			if c.sentAt(o) >= begin && o.at < begin+d {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -37,6 +37,8 @@
 		flows    map[flowKey]*heldFlow
 		draining bool
 		leftAt   time.Duration // when draining was acknowledged; 0 before
+		started  time.Duration
+		coldFor  time.Duration // after its start
 		seq      int
 		taken    []opening
 		ran      map[string]int // runs by request id
@@ -55,16 +57,18 @@
 
 	// opening is a SYN that an endpoint took.
 	opening struct {
-		at   time.Duration
-		flow flowKey
+		at     time.Duration
+		flow   flowKey
+		number uint32 // of the copy, 0 for the first SYN
 	}
 )
 
-// startEndpoint begins a lifetime of the endpoint on a machine. Its pings go to control.
-func (s *site) startEndpoint(m *machine, control netip.AddrPort) (*endpoint, error) {
+// startEndpoint begins a lifetime of the endpoint on a machine. Its pings go to control and are
+// numbered from firstSeq.
+func (s *site) startEndpoint(m *machine, control netip.AddrPort, coldFor time.Duration, firstSeq int) (*endpoint, error) {
 	e := &endpoint{
 		site: s, name: m.name, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: m.service, host: m.host, born: time.Now().UnixMilli(),
-		work: s.work, closed: make(chan struct{}), control: control, flows: map[flowKey]*heldFlow{}, ran: map[string]int{},
+		work: s.work, started: s.record.now(), coldFor: coldFor, seq: firstSeq, closed: make(chan struct{}), control: control, flows: map[flowKey]*heldFlow{}, ran: map[string]int{},
 	}
 	app := s.at(m.host, portApp)
 	var err error
@@ -123,9 +127,10 @@
 // pingOnce sends a ping and reports whether it was acknowledged.
 func (e *endpoint) pingOnce() bool {
 	e.mu.Lock()
-	e.seq++
 	seq, state, draining := e.seq, "ready", e.draining
+	e.seq++
 	e.mu.Unlock()
+	cold := max(0, e.started+e.coldFor-e.site.record.now()).Milliseconds()
 	if draining {
 		state = "draining"
 	}
@@ -133,8 +138,8 @@
 	if e.site.bounds.born {
 		born = fmt.Sprintf(`,"born":%d`, e.born)
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d%s}`,
-		e.service, e.site.at(e.host, portApp), zoneName, slots, state, seq, born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":%d,"seq":%d%s}`,
+		e.service, e.site.at(e.host, portApp), zoneName, slots, state, cold, seq, born)
 	acknowledged := e.call(http.MethodPut, body)
 	if acknowledged && draining {
 		e.mu.Lock()
@@ -225,7 +230,7 @@
 			f = &heldFlow{isn: rand.Uint32(), first: p.seq, want: p.seq + 1}
 			f.next = f.isn + 1
 			e.flows[key] = f
-			e.taken = append(e.taken, opening{at: e.site.record.now(), flow: key})
+			e.taken = append(e.taken, opening{at: e.site.record.now(), flow: key, number: p.ack})
 		}
 		e.send(e.packet(key, flagOpen|flagAck, f.isn, f.want, nil))
 		return
@@ -310,3 +315,16 @@
 	f := e.flows[key]
 	return f != nil && f.open && !f.ended
 }
+
+// takenBefore returns the openings that the endpoint took before a time.
+func (e *endpoint) takenBefore(at time.Duration) []opening {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []opening
+	for _, o := range e.taken {
+		if o.at < at {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,6 +26,8 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"other-writer": playOtherWriter,
 	"late-ping":    playLatePing,
+	"power-off":    playPowerOff,
+	"first-ping":   playFirstPing,
 	"reset":        playReset,
 }
 
