--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -15,6 +15,10 @@
 
 const (
 	service = "svc-a"
+	// load is the number of flows that consumers open in a second.
+	load = 80
+	// littleLonger is how much longer than drain-ms a draining endpoint goes on serving.
+	littleLonger = 1500 * time.Millisecond
 	// coldStart is how long an endpoint is cold, and coldPerSecond what it bears meanwhile.
 	coldStart     = 2 * time.Second
 	coldPerSecond = 20
@@ -88,8 +92,12 @@
 	for _, o := range late {
 		d.record.add("endpoint %s took the opening of flow %s at %.3f s, %.3f s after the acknowledgement", e.id, o.flow.consumer, o.at.Seconds(), (o.at - acknowledged).Seconds())
 	}
+	lost := d.consumers.lost(e)
+	for _, id := range lost {
+		d.record.add("request %s, which endpoint %s had begun to run, got no answer", id, e.id)
+	}
 	if len(late) > 0 {
-		return errBroken(fmt.Sprintf("DRAIN: %d openings reached the endpoint later than %v after its draining was acknowledged", len(late), d.bounds.drain))
+		return errBroken(fmt.Sprintf("DRAIN: %d openings reached the endpoint later than %v after its draining was acknowledged, %d requests were lost when it ended", len(late), d.bounds.drain, len(lost)))
 	}
 	return nil
 }
@@ -107,7 +115,7 @@
 	stop, loadEnded := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(loadEnded)
-		d.consumers.load(d.route(1), 50, stop)
+		d.consumers.load(d.route(1), load, stop)
 	}()
 	time.Sleep(d.bounds.stable + 2*time.Second)
 	e := d.endpoints[0]
@@ -119,10 +127,11 @@
 	if trouble {
 		d.sendOtherWriter(e)
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(d.bounds.drain - 4*time.Second + littleLonger)
+	e.leave()
+	time.Sleep(2 * time.Second)
 	close(stop)
 	<-loadEnded
-	e.leave()
 	return d.judgeDrain(e, acknowledged)
 }
 
@@ -211,7 +220,6 @@
 	latePingHeals  = 6600 * time.Millisecond
 	latePingDrains = 10900 * time.Millisecond
 	latePingComes  = 12650 * time.Millisecond
-	latePingEnds   = 18500 * time.Millisecond
 )
 
 // playLatePing lets a partition delay the first ping of an endpoint's lifetime. The endpoint
@@ -234,7 +242,7 @@
 	stop, loadEnded := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(loadEnded)
-		d.consumers.load(d.route(1), 50, stop)
+		d.consumers.load(d.route(1), load, stop)
 	}()
 	begun := time.Now()
 	until := func(at time.Duration) { time.Sleep(time.Until(begun.Add(at))) }
@@ -261,10 +269,11 @@
 	}
 	until(latePingComes)
 	proxy.release()
-	until(latePingEnds)
+	until(latePingDrains + d.bounds.drain + littleLonger)
+	second.leave()
+	time.Sleep(2 * time.Second)
 	close(stop)
 	<-loadEnded
-	second.leave()
 	return d.judgeDrain(second, acknowledged)
 }
 
@@ -280,6 +289,48 @@
 		return err
 	}
 	time.Sleep(2 * time.Second)
+	return d.resetAfterRestart(trouble, func() { d.sendOtherWriter(d.endpoints[0]) })
+}
+
+// playLateReset is playReset at an installation whose pings name no start, with the first ping of an
+// earlier lifetime of an endpoint, which a partition has delayed, in place of that of another writer.
+func playLateReset(r *record, trouble bool) error {
+	d, err := deploy(r, brathwaite, "unsafe", 2)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return err
+	}
+	m := d.agents[2]
+	proxy, err := newDelayingProxy(r, netip.AddrPortFrom(d.host(6, 1), firstPort), d.at(m.host, portControl))
+	if err != nil {
+		return err
+	}
+	defer proxy.listener.Close()
+	if trouble {
+		proxy.setCut(true)
+		first, err := d.startEndpoint(m, proxy.address(), 0, 1)
+		if err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Second)
+		first.crash()
+		time.Sleep(time.Second)
+		proxy.setCut(false)
+	}
+	second, err := d.startEndpoint(m, proxy.address(), 0, 1)
+	if err != nil {
+		return err
+	}
+	d.endpoints = append(d.endpoints, second)
+	time.Sleep(time.Second)
+	return d.resetAfterRestart(trouble, proxy.release)
+}
+
+// resetAfterRestart opens flows and uses them, restarts the entries, and lets a ping arrive once they
+// have run for longer than stable-window-ms again.
+func (d *deployment) resetAfterRestart(trouble bool, ping func()) error {
 	var flows []*flow
 	var wait sync.WaitGroup
 	for n := range 24 {
@@ -305,10 +356,10 @@
 	}
 	time.Sleep(d.bounds.stable + 1500*time.Millisecond)
 	if trouble && os.Getenv("TROUBLE") != "kills" {
-		d.sendOtherWriter(d.endpoints[0])
+		ping()
 	}
 	wait.Wait()
-	r.add("consumers: %v", d.consumers.results)
+	d.record.add("consumers: %v", d.consumers.results)
 	return d.judgeResets(flows)
 }
 
@@ -389,7 +440,7 @@
 	stop, loadEnded := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(loadEnded)
-		d.consumers.load(d.route(1), 50, stop)
+		d.consumers.load(d.route(1), load, stop)
 	}()
 	if trouble {
 		proxy.setCut(true)
@@ -407,12 +458,13 @@
 	if !ok {
 		return errors.New("the draining endpoint got no acknowledgement")
 	}
-	time.Sleep(d.bounds.drain + 800*time.Millisecond)
+	time.Sleep(d.bounds.drain + littleLonger/2)
 	proxy.release()
-	time.Sleep(3 * time.Second)
+	time.Sleep(littleLonger / 2)
+	e.leave()
+	time.Sleep(2 * time.Second)
 	close(stop)
 	<-loadEnded
-	e.leave()
 	return d.judgeDrain(e, acknowledged)
 }
 
--- a/review/rig2/consumer.go
+++ b/review/rig2/consumer.go
@@ -34,6 +34,7 @@
 		flows    map[uint16]*flow
 		nextPort uint16
 		results  map[string]int
+		ends     map[string]string           // how each request of once ended
 		sent     map[flowKey][]time.Duration // when the SYN of each flow and its copies were sent
 		forged   int
 	}
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &consumers{site: s, conn: conn, flows: map[uint16]*flow{}, nextPort: 20000, results: map[string]int{}, sent: map[flowKey][]time.Duration{}}
+	c := &consumers{site: s, conn: conn, flows: map[uint16]*flow{}, nextPort: 20000, results: map[string]int{}, ends: map[string]string{}, sent: map[flowKey][]time.Duration{}}
 	go c.receive()
 	return c, nil
 }
@@ -243,6 +244,9 @@
 	}
 	f.close()
 	c.count(result)
+	c.mu.Lock()
+	c.ends[id] = result
+	c.mu.Unlock()
 	c.site.record.add("request %s of flow %s: %s", id, f.key().consumer, result)
 	return result
 }
@@ -302,3 +306,18 @@
 	}
 	return most
 }
+
+// lost returns the requests that an endpoint has begun to run and whose consumers got no answer.
+func (c *consumers) lost(e *endpoint) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for id := range e.ran {
+		if c.ends[id] != served {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"other-writer": playOtherWriter,
 	"late-ping":    playLatePing,
+	"late-reset":   playLateReset,
 	"power-off":    playPowerOff,
 	"first-ping":   playFirstPing,
 	"reset":        playReset,
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -43,7 +43,8 @@
 	bounds struct {
 		name                     string
 		stable, drain, heartbeat time.Duration
-		born                     bool // pings tell when the endpoint was started
+		work                     time.Duration // of a request
+		born                     bool          // pings tell when the endpoint was started
 		coldOverage, coldSlack   float64
 		json                     string
 	}
@@ -78,16 +79,16 @@
 // The installations of the pages.
 var (
 	brathwaite = bounds{
-		name: "brathwaite-jobs", stable: 4 * time.Second, drain: 3 * time.Second, heartbeat: 1200 * time.Millisecond,
+		name: "brathwaite-jobs", stable: 4 * time.Second, drain: 3 * time.Second, heartbeat: 1200 * time.Millisecond, work: 52 * time.Millisecond,
 		json: `{"seed-lag-s":3,"reuse-after-s":2,"stable-window-ms":4000,"ack-ms":5000,"catch-up-s":4,"drain-ms":3000,"grace-s":6,"loss-slack-ms":200,"config-apply-ms":3000,"rollback-slack-ms":250,"max-stretch-ms":12000,"recovery-s":12,"flow-ms":2000,"flow-lifetime-s":60}`,
 	}
 	stavplan = bounds{
-		name: "stavplan-podania-grown", stable: 5 * time.Second, drain: 5 * time.Second, heartbeat: 770 * time.Millisecond, born: true,
+		name: "stavplan-podania-grown", stable: 5 * time.Second, drain: 5 * time.Second, heartbeat: 770 * time.Millisecond, work: 15 * time.Millisecond, born: true,
 		coldOverage: 1.5, coldSlack: 5,
 		json: `{"seed-lag-s":3,"reuse-after-s":2,"stable-window-ms":5000,"ack-ms":8000,"catch-up-s":6,"drain-ms":5000,"grace-s":6,"loss-slack-ms":200,"config-apply-ms":5000,"rollback-slack-ms":250,"max-stretch-ms":15000,"cold-overage":1.5,"cold-slack":5,"evacuate-ms":5000,"recovery-s":15,"flow-ms":2000,"flow-lifetime-s":60}`,
 	}
 	gleta = bounds{
-		name: "gleta-gate-grown", stable: 5 * time.Second, drain: 5 * time.Second, heartbeat: 770 * time.Millisecond, born: true,
+		name: "gleta-gate-grown", stable: 5 * time.Second, drain: 5 * time.Second, heartbeat: 770 * time.Millisecond, work: 60 * time.Millisecond, born: true,
 		json: `{"seed-lag-s":3,"reuse-after-s":2,"stable-window-ms":5000,"ack-ms":8000,"catch-up-s":6,"drain-ms":5000,"grace-s":6,"loss-slack-ms":200,"config-apply-ms":5000,"rollback-slack-ms":250,"max-stretch-ms":15000,"recovery-s":15,"flow-ms":2000,"flow-lifetime-s":60}`,
 	}
 )
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{bounds: b, record: r, dir: dir, work: 15 * time.Millisecond, store: newStore()}
+	s := &site{bounds: b, record: r, dir: dir, work: b.work, store: newStore()}
 	listener, err := s.reserve()
 	if err != nil {
 		return nil, errors.Join(err, os.RemoveAll(dir))
