Review case 7: the draining upstream ends while late openings reach it

Cause: the script ended the upstream after its next heartbeat, when openings had stopped. Change: it ends 0.4 s after the delayed heartbeat.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -19,6 +19,8 @@
 	load = 80
 	// littleLonger is how much longer than drain-ms a draining endpoint goes on serving.
 	littleLonger = 1500 * time.Millisecond
+	// firstPingLeft is how much longer than its delayed first ping an endpoint goes on serving.
+	firstPingLeft = 400 * time.Millisecond
 	// coldStart is how long an endpoint is cold, and coldPerSecond what it bears meanwhile.
 	coldStart     = 2 * time.Second
 	coldPerSecond = 20
@@ -460,7 +462,7 @@
 	}
 	time.Sleep(d.bounds.drain + littleLonger/2)
 	proxy.release()
-	time.Sleep(littleLonger / 2)
+	time.Sleep(firstPingLeft)
 	e.leave()
 	time.Sleep(2 * time.Second)
 	close(stop)
