Agent: reject heartbeats with fields missing, out of range or of another upstream

Cause: DecodeHeartbeat required four fields only.

Change: all fields but born are required, born must be a whole number if it is there, and service, address and zone must be those of the agent. Other heartbeats get 400 and change nothing; the log line and a counter name the field. The stand-in upstreams of tests and soaks send all fields now, and those of internal/fleet accept connections, as upstreams do.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -308,7 +308,7 @@
 
 // handleHeartbeat passes a heartbeat of the upstream to the relay, and reports
 // to the entries at once if the upstream's state changed. It rejects with 400 a
-// heartbeat that cannot be decoded or is for another service.
+// heartbeat that cannot be decoded or is not from the agent's upstream.
 func (a *Agent) handleHeartbeat(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxHeartbeatBytes))
 	if err != nil {
@@ -316,13 +316,11 @@
 		return
 	}
 	h, err := platform.DecodeHeartbeat(req.PathValue("id"), body)
-	if err == nil && h.Service != a.settings.Service {
-		err = errors.Errorf("heartbeat is for service %q, which this agent does not serve", h.Service)
+	if err == nil {
+		err = h.CheckFrom(a.settings.Service, a.settings.UpstreamAddress, a.settings.FailureDomain)
 	}
 	if err != nil {
-		a.metrics.increment("bad-heartbeats")
-		a.log.Warn("heartbeat rejected", zap.String("upstream", req.PathValue("id")), daemon.Err(err))
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		a.rejectHeartbeat(w, req.PathValue("id"), err)
 		return
 	}
 	now := a.now()
@@ -350,6 +348,18 @@
 	writeJSON(w, struct{}{})
 }
 
+// rejectHeartbeat logs and counts a heartbeat of another writer, with the field that shows it.
+func (a *Agent) rejectHeartbeat(w http.ResponseWriter, id string, err error) {
+	field := ""
+	if heartbeatErr := (*platform.HeartbeatError)(nil); errors.As(err, &heartbeatErr) {
+		field = heartbeatErr.Field
+	}
+	a.metrics.increment("bad-heartbeats")
+	a.metrics.increment("bad-heartbeats-" + field)
+	a.log.Warn("heartbeat rejected", zap.String("upstream", id), zap.String("field", field), daemon.Err(err))
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
 // tick lets the relay expire what is old, and logs a pause of this process.
 func (a *Agent) tick() {
 	if gap := a.relay.Tick(a.now()); gap > 0 {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -61,9 +61,22 @@
 	s.port = freePorts(t, s.ip(1))
 	s.upstream = s.listen(s.ip(2), s.port+6)
 	s.caller = s.listen(s.ip(3), s.port+2)
+	s.listenForProbes()
 	return s
 }
 
+// listenForProbes lets the upstream accept connections. Its health checks fail, so that its agent
+// waits for the first heartbeat.
+func (s *testSite) listenForProbes() {
+	listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", s.ip(2), s.port+6))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.NotFoundHandler()}}
+	server.Start()
+	s.t.Cleanup(server.Close)
+}
+
 func (s *testSite) ip(host byte) string { return fmt.Sprintf("127.0.%d.%d", s.subnet, host) }
 
 func (s *testSite) listen(ip string, port int) *net.UDPConn {
@@ -155,7 +168,7 @@
 // it.
 func (s *testSite) sendHeartbeat(state string, seq int) {
 	s.t.Helper()
-	body := fmt.Sprintf(`{"service":"maklerlink","slots":2,"state":%q,"cold-remaining-ms":0,"seq":%d}`, state, seq)
+	body := fleet.HeartbeatBody(map[string]any{"state": state, "seq": seq, "address": s.settings(2).UpstreamAddress})
 	url := fmt.Sprintf("http://%s:%d/instances/i-1", s.ip(2), s.port+4)
 	s.eventually("a heartbeat is acknowledged", func() bool {
 		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -279,7 +279,7 @@
 	p, _ := newLoggedProcess()
 	a := &Agent{process: p}
 	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
-	const body = `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`
+	body := heartbeatBody(nil)
 	odd := heartbeat(a, "i-%ff", body)
 	report, err := peer.Encode(peer.Report, a.status())
 	is.NoErr(err)
--- a/internal/fleet/pause_log_test.go
+++ b/internal/fleet/pause_log_test.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -26,11 +26,11 @@
 	is := is.New(t)
 	core, lines := observer.New(zap.InfoLevel)
 	p := &process{
-		settings: &platform.Settings{Service: "s", UpstreamAddress: netip.MustParseAddrPort("10.0.0.2:443")}, log: zap.New(core),
+		settings: &platform.Settings{Service: "maklerlink", FailureDomain: "graz-nord", UpstreamAddress: upstreamAddress}, log: zap.New(core),
 		self: peer.Addr{10, 0, 0, 2}, started: time.Now().Add(-time.Minute), entries: newEntrySet(agentEntryTimeout),
 	}
 	a := &Agent{process: p}
-	a.relay = relay.New(p.self, peer.Service("s"), p.codec, a)
+	a.relay = relay.New(p.self, peer.Service("maklerlink"), p.codec, a)
 	messages := func() []string {
 		var out []string
 		for _, line := range lines.TakeAll() {
@@ -39,7 +39,7 @@
 		return out
 	}
 	heartbeat := func(id, sequence string) {
-		req := httptest.NewRequest(http.MethodPut, "/instances/"+id, strings.NewReader(`{"service":"s","slots":1,"state":"ready","seq":`+sequence+`,"born":0}`))
+		req := httptest.NewRequest(http.MethodPut, "/instances/"+id, strings.NewReader(heartbeatBody(map[string]any{"seq": json.Number(sequence)})))
 		w := httptest.NewRecorder()
 		a.controlHandler().ServeHTTP(w, req)
 		is.Equal(w.Code, http.StatusOK)
--- a/internal/fleet/probe_test.go
+++ b/internal/fleet/probe_test.go
@@ -44,7 +44,7 @@
 	p, _ := newLoggedProcess()
 	a := &Agent{process: p}
 	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
-	is.Equal(heartbeat(a, "i-1", `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`), http.StatusOK)
+	is.Equal(heartbeat(a, "i-1", heartbeatBody(nil)), http.StatusOK)
 	a.settings.UpstreamAddress = newFullListener(t)
 	a.checkOverdueUpstream()
 	is.True(!a.status().Empty)
@@ -64,7 +64,7 @@
 	p, _ := newLoggedProcess()
 	a := &Agent{process: p}
 	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
-	is.Equal(heartbeat(a, "i-1", `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`), http.StatusOK)
+	is.Equal(heartbeat(a, "i-1", heartbeatBody(nil)), http.StatusOK)
 	upstream, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	a.settings.UpstreamAddress = upstream.Addr().(*net.TCPAddr).AddrPort()
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 func newLoggedProcess() (*process, *observer.ObservedLogs) {
 	core, logged := observer.New(zap.InfoLevel)
 	return &process{
-		settings: &platform.Settings{Service: "maklerlink"}, log: zap.New(core), started: time.Now().Add(-time.Minute),
+		settings: &platform.Settings{Service: "maklerlink", FailureDomain: "graz-nord", UpstreamAddress: upstreamAddress}, log: zap.New(core), started: time.Now().Add(-time.Minute),
 		eras: newEraSignal(), entries: newEntrySet(entryTimeout), store: platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1")),
 	}, logged
 }
@@ -198,6 +199,25 @@
 	is.True(errors.Is(err, errBatchFull))
 }
 
+// upstreamAddress is the address of the upstream of tests in which none listens.
+var upstreamAddress = netip.MustParseAddrPort("10.128.0.9:8080")
+
+// heartbeatBody returns the body of a heartbeat of the upstream with other values of some fields; a
+// field without a value is left out.
+func heartbeatBody(changes map[string]any) string {
+	fields := map[string]any{
+		"service": "maklerlink", "address": upstreamAddress, "zone": "graz-nord", "version": "v1", "slots": 2, "state": "ready",
+		"cold-remaining-ms": 0, "seq": 5,
+	}
+	maps.Copy(fields, changes)
+	maps.DeleteFunc(fields, func(_ string, value any) bool { return value == nil })
+	b, err := json.Marshal(fields)
+	if err != nil {
+		panic(err) // the fields of tests can be encoded
+	}
+	return string(b)
+}
+
 // heartbeat sends a heartbeat to an agent and returns the status of the response.
 func heartbeat(a *Agent, id, body string) int {
 	w := httptest.NewRecorder()
@@ -208,20 +228,23 @@
 // TestHeartbeatsOfOtherWriter guards against heartbeats that no upstream of this agent has
 // sent: they name no upstream to use, and do not disturb the one that runs.
 func TestHeartbeatsOfOtherWriter(t *testing.T) {
-	const good = `{"service":"maklerlink","slots":2,"state":"ready","seq":5}`
+	good := heartbeatBody(nil)
 	for name, body := range map[string]string{
 		"unreadable bytes": "\x00\xff\xfe{",
 		"empty":            "",
 		"a list":           `[{"service":"maklerlink"}]`,
 		"null":             `null`,
 		"no fields":        `{}`,
-		"no slots":         `{"service":"maklerlink","state":"ready","seq":9}`,
-		"slots as text":    `{"service":"maklerlink","slots":"2","state":"ready","seq":9}`,
-		"too many slots":   `{"service":"maklerlink","slots":9000000000,"state":"ready","seq":9}`,
-		"unknown state":    `{"service":"maklerlink","slots":2,"state":"sleepy","seq":9}`,
-		"unknown service":  `{"service":"another","slots":2,"state":"ready","seq":9}`,
+		"no slots":         heartbeatBody(map[string]any{"seq": 9, "slots": nil}),
+		"slots as text":    heartbeatBody(map[string]any{"seq": 9, "slots": "2"}),
+		"too many slots":   heartbeatBody(map[string]any{"seq": 9, "slots": 9000000000}),
+		"unknown state":    heartbeatBody(map[string]any{"seq": 9, "state": "sleepy"}),
+		"unknown service":  heartbeatBody(map[string]any{"seq": 9, "service": "another"}),
+		"another address":  heartbeatBody(map[string]any{"seq": 9, "address": "10.128.0.10:8080"}),
+		"another domain":   heartbeatBody(map[string]any{"seq": 9, "zone": "graz-sued"}),
+		"no address":       heartbeatBody(map[string]any{"seq": 9, "address": nil}),
 		"nested deeply":    strings.Repeat(`{"service":`, 20000),
-		"too large":        `{"service":"maklerlink","slots":2,"state":"ready","seq":9,"x":"` + strings.Repeat("x", maxHeartbeatBytes) + `"}`,
+		"too large":        heartbeatBody(map[string]any{"seq": 9, "x": strings.Repeat("x", maxHeartbeatBytes)}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -240,6 +263,23 @@
 	}
 }
 
+// TestIncompleteHeartbeatEndsNoDraining guards against openings at a draining upstream: a heartbeat of
+// another writer lacks address, zone, version and cold-remaining-ms, and names a start of its own.
+func TestIncompleteHeartbeatEndsNoDraining(t *testing.T) {
+	is := is.New(t)
+	p, logged := newLoggedProcess()
+	a := &Agent{process: p}
+	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
+	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000, "state": "draining"})), http.StatusOK)
+	before := a.relay.Status(a.now())
+	is.True(!before.Taking)
+	odd := `{"service":"maklerlink","slots":2,"state":"ready","seq":1,"born":2000}`
+	is.Equal(heartbeat(a, "i-9", odd), http.StatusBadRequest)
+	is.Equal(a.relay.Status(a.now()), before)
+	is.Equal(logged.FilterMessage("heartbeat rejected").All()[0].ContextMap()["field"], "address")
+	is.Equal(a.metrics.count("bad-heartbeats-address"), int64(1))
+}
+
 // TestAgentNeedsHeartbeatInterval guards against an agent that ends with a panic of its timer
 // after it has started, because its settings lack the interval.
 func TestAgentNeedsHeartbeatInterval(t *testing.T) {
@@ -261,10 +301,10 @@
 	p, _ := newLoggedProcess()
 	a := &Agent{process: p}
 	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
-	is.Equal(heartbeat(a, "i-1", `{"service":"maklerlink","slots":2,"state":"ready","seq":5,"born":1000}`), http.StatusOK)
+	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000})), http.StatusOK)
 	last := a.lastHeartbeat.Load()
 	born := time.Now().Add(-30 * time.Second).UnixMilli()
-	body := `{"service":"maklerlink","slots":7,"state":"draining","seq":5,"born":` + strconv.FormatInt(born, 10) + `}`
+	body := heartbeatBody(map[string]any{"slots": 7, "state": "draining", "born": born})
 	is.Equal(heartbeat(a, "i-9", body), http.StatusOK)
 	st := a.relay.Status(a.now())
 	is.Equal(st.Upstream, "i-1")
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -211,8 +211,8 @@
 	if u.site.flaps {
 		born = 0
 	}
-	return u.id, fmt.Sprintf(`{"service":%q,"slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
-		u.settings.Service, slots, state, u.heartbeats, born), true
+	return u.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
+		u.settings.Service, u.settings.UpstreamAddress, u.settings.FailureDomain, slots, state, u.heartbeats, born), true
 }
 
 // drain makes the upstream end each flow with its next response.
