Agent: another start of the upstream replaces the present one on evidence, not on one heartbeat

Cause: the agent took one heartbeat for a fact against what it knew. Any start that was neither in the list of replaced starts nor older by its time counted as the next one, although the present one went on reporting.

Change: one type, starts, decides which start is the present one, in place of delayed, foreign and the list of replaced starts. Another start is a candidate until the present one has ended, has fallen silent while the candidate goes on reporting, or has returned the packets of all flows that it held. The upstream is asked at once which flows it holds, as before, and the agent's report names the candidate, so that entries ask about flows that a restarted agent does not know.

Changed expectations: in scripts that asserted the next start at once, it counts after its second heartbeat or the first returned packet; the announcements and the trial that follow come then. What they guard is asserted there.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -90,7 +91,7 @@
 		return nil, err
 	}
 	a := &Agent{process: p, upstreamConn: conn}
-	a.relay = relay.New(p.self, peer.Service(s.Service), p.codec, a, relay.WithLifetime(s.FlowLifetime), relay.WithColdBounds(s.ColdOverage, s.ColdSlack))
+	a.relay = relay.New(p.self, peer.Service(s.Service), p.codec, a, relay.WithLifetime(s.FlowLifetime), relay.WithColdBounds(s.ColdOverage, s.ColdSlack), relay.WithHeartbeatInterval(s.HeartbeatInterval))
 	a.evacuations = newEvacuations(p, a.followEvacuation, func(domain string) bool { return domain == s.FailureDomain })
 	return a, nil
 }
@@ -215,6 +216,24 @@
 	a.log.Info(string(relay.ResetUpstreamEnded), fields...)
 }
 
+// RecordClaim implements relay.Port. It counts and logs a heartbeat of another start than the
+// present one that does not take its place.
+func (a *Agent) RecordClaim(c relay.Claim) {
+	message := "heartbeat of another start"
+	if c.Late {
+		message = "heartbeat ignored"
+	}
+	a.metrics.increment(strings.ReplaceAll(message, " ", "-"))
+	a.log.Info(message, zap.String("upstream", c.Upstream.ID), zap.Uint64("sequence", c.Upstream.Sequence), zap.Uint32("start", c.Start),
+		zap.String("present", c.PresentID), zap.Uint64("present-sequence", c.PresentSequence))
+}
+
+// RecordStart implements relay.Port. It logs the state of the upstream.
+func (a *Agent) RecordStart(u relay.Upstream, start uint32, evidence relay.Succession) {
+	a.log.Info("upstream", zap.String("upstream", u.ID), zap.Int64("born", u.Born), zap.Bool("draining", u.Draining),
+		zap.Uint64("sequence", u.Sequence), zap.Duration("cold", u.ColdFor), zap.Uint32("start", start), zap.String("evidence", string(evidence)))
+}
+
 // handlePeerDatagram handles a datagram of an entry or of another agent.
 func (a *Agent) handlePeerDatagram(from netip.AddrPort, b []byte) error {
 	kind, err := peer.KindOf(b)
@@ -328,21 +347,17 @@
 	if !a.relay.Fresh(now) {
 		a.log.Info("heartbeat after a pause", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start))
 	}
-	changed := a.relay.HandleHeartbeat(now, relay.Upstream{
+	u := relay.Upstream{
 		ID: h.ID, Born: h.Born, Sequence: h.Sequence, Slots: h.Slots, Draining: h.Draining, ColdFor: h.ColdFor, Age: age(h.Born, time.Now()),
-	})
+		Refused: a.relay.Vacant() && a.upstreamRefuses(),
+	}
+	changed := a.relay.HandleHeartbeat(now, u)
 	present, sequence := a.relay.LastHeartbeat()
-	if present == h.ID {
+	if present == h.ID && sequence == h.Sequence {
 		a.lastHeartbeat.Store(int64(now))
 		a.upstreamEnded.Store(false)
 	}
-	if present != h.ID || sequence != h.Sequence {
-		a.log.Info("heartbeat ignored", zap.String("upstream", h.ID), zap.Uint64("sequence", h.Sequence), zap.Uint32("start", start),
-			zap.String("present", present), zap.Uint64("present-sequence", sequence))
-	}
 	if changed {
-		a.log.Info("upstream", zap.String("upstream", h.ID), zap.Int64("born", h.Born), zap.Bool("draining", h.Draining),
-			zap.Uint64("sequence", h.Sequence), zap.Duration("cold", h.ColdFor), zap.Uint32("start", start))
 		a.report()
 	}
 	writeJSON(w, struct{}{})
@@ -428,6 +443,13 @@
 	return true
 }
 
+// upstreamRefuses reports whether the upstream's address refuses connections, so that no process
+// listens there.
+func (a *Agent) upstreamRefuses() bool {
+	listening, known := a.upstreamListens()
+	return known && !listening
+}
+
 // due reports whether the next probe is due, and if so doubles the pause after it.
 func (p *probePause) due(now time.Duration) bool {
 	if now < p.next {
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -301,6 +301,8 @@
 	p, _ := newLoggedProcess()
 	a := &Agent{process: p}
 	a.relay = relay.New(peer.Addr{10, 0, 0, 1}, peer.Service("maklerlink"), p.codec, a)
+	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000, "seq": 4})), http.StatusOK)
+	p.started = p.started.Add(-2 * time.Second) // time passes
 	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000})), http.StatusOK)
 	last := a.lastHeartbeat.Load()
 	born := time.Now().Add(-30 * time.Second).UnixMilli()
--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -210,14 +210,17 @@
 	}
 }
 
-// HandleReport records an agent's status unless it is outdated. If the agent is new or
-// its upstream may have restarted or ended, it checks the cached flows that are not known to be
+// HandleReport records an agent's status unless it is outdated. If the agent is new, or
+// its upstream may have restarted or ended or may have been replaced by a candidate, it checks the cached flows that are not known to be
 // of the upstream's last known start, see checkOtherStarts; if no upstream runs, those of all
 // starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
-	isNew, restarted := d.members.update(now, from, status)
+	isNew, restarted, doubted := d.members.update(now, from, status)
 	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.checkOtherStarts(now, from, start)
+		d.checkOtherStarts(now, from, start, true)
+	}
+	if doubted {
+		d.checkOtherStarts(now, from, status.Candidate, false)
 	}
 	if d.members.usable(now, from) {
 		d.deliverHeld(from, d.absences.end(from))
@@ -237,8 +240,9 @@
 // checkOtherStarts asks the owner of flows whether its upstream holds those that it has not
 // announced with the given start of the upstream, see ask; 0 means that no upstream runs. A
 // restored flow that can't be asked about is reset if it was proven when it was saved and its caller
-// has sent nothing since. For any other flow, the caller's next packet decides.
-func (d *Director) checkOtherStarts(now time.Duration, owner peer.Addr, start uint32) {
+// has sent nothing since, and if the start is certain to run: the agent may have heard one late
+// heartbeat. For any other flow, the caller's next packet decides.
+func (d *Director) checkOtherStarts(now time.Duration, owner peer.Addr, start uint32, certain bool) {
 	d.eachShard(func(s *shard) {
 		// Sorted, so that simulated runs are reproducible.
 		for _, flow := range slices.SortedFunc(maps.Keys(s.flows), segment.Flow.Compare) {
@@ -247,7 +251,7 @@
 			case rec.owner != owner || start != 0 && rec.startID == start:
 			case rec.mayAsk():
 				d.ask(now, s, flow, rec, start)
-			case rec.startProven && rec.lastSeen == rec.created:
+			case certain && rec.startProven && rec.lastSeen == rec.created:
 				proof := OtherStart
 				if start == 0 {
 					proof = NoUpstreamRuns
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -116,13 +116,13 @@
 }
 
 // update records an agent's report unless it is outdated. It reports whether the
-// agent is new, and whether its upstream may have restarted or ended since the
-// report before.
-func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted bool) {
+// agent is new, whether its upstream may have restarted or ended since the report before, and
+// whether it names another candidate than that.
+func (m *members) update(now time.Duration, from peer.Addr, status peer.Status) (isNew, restarted, doubted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d, ok := m.departed[from]; ok && staleReport(status.Incarnation, d.incarnation, now-d.at) {
-		return false, false
+		return false, false, false
 	}
 	a, ok := m.agents[from]
 	if !ok {
@@ -131,10 +131,10 @@
 	}
 	old := a.status
 	if ok && status.Incarnation != old.Incarnation && staleReport(status.Incarnation, old.Incarnation, now-a.reportedAt) {
-		return false, false
+		return false, false, false
 	}
 	if ok && status.Incarnation == old.Incarnation && status.Sequence <= old.Sequence {
-		return false, false
+		return false, false, false
 	}
 	if status.Upstream != "" {
 		m.heard[from] = m.heard[from].next(now, status)
@@ -150,7 +150,7 @@
 		a.service = service
 		m.rebuildByService()
 	}
-	return !ok, restarted
+	return !ok, restarted, status.Candidate != 0 && status.Candidate != old.Candidate
 }
 
 // staleReport reports whether a report of an incarnation is outdated: it is of
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -479,3 +479,21 @@
 	s.reportStart(2*time.Second, owner, 2, 6, 1)
 	is.Equal(s.port.resets, 0)
 }
+
+// TestCandidateIsAskedForOnly guards against callers that wait to learn that their flow is gone, as the
+// agent has no table and its upstream's next start is not certain yet: the upstream is asked at once. A
+// restored flow that it can't be asked for is not reset: the heartbeat may have been a late one.
+func TestCandidateIsAskedForOnly(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t, acknowledgement(upstreamSequence))
+	restored := segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{{Flow: restored, Owner: s.owner, Start: peer.StartID("u", 5), Acknowledged: 9, Proven: true}})
+	status := peer.Status{Incarnation: 1, Service: "maklerlink", Upstream: "u", Born: 5, Candidate: peer.StartID("u", 6), Taking: true, Slots: 2}
+	for status.Sequence = 2; status.Sequence < 5; status.Sequence++ {
+		s.HandleReport(2*time.Second, s.owner, status)
+	}
+	is.Equal(s.asked(t), []segment.Header{acknowledgement(upstreamSequence)})
+	is.Equal(s.port.resets, 0)
+	s.returns(t, 2100*time.Millisecond, s.owner, acknowledgement(upstreamSequence), false)
+	is.Equal(s.port.resets, 1)
+}
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -141,7 +141,7 @@
 	}
 	for _, a := range d.members.list() {
 		if start, known := d.members.upstreamStart(a); known {
-			d.checkOtherStarts(now, a, start)
+			d.checkOtherStarts(now, a, start, true)
 		}
 	}
 }
--- a/pkg/relay/answers.go
+++ b/pkg/relay/answers.go
@@ -9,8 +9,8 @@
 
 // HandleUpstreamPacket handles a packet that the upstream sent or bounced. It
 // reports whether the agent should send its status to other processes at once,
-// because the packet has caused the ejection of the upstream. It returns an error if
-// the packet cannot be decoded.
+// because the packet has caused the ejection of the upstream or has shown that another
+// start of it runs. It returns an error if the packet cannot be decoded.
 func (r *Relay) HandleUpstreamPacket(now time.Duration, packet []byte) (reportNow bool, err error) {
 	h, err := r.codec.FromUpstream(packet)
 	if err != nil {
@@ -21,7 +21,7 @@
 	handled := false
 	defer func() { r.forgetUnless(handled, now, h.Flow) }()
 	if h.Has(segment.Bounced) {
-		r.handleBounced(now, h, packet)
+		reportNow = r.handleBounced(now, h, packet)
 	} else {
 		reportNow = r.handleAnswer(now, h, packet)
 	}
@@ -61,16 +61,16 @@
 // table, unless the packet is a retransmitted opening of a flow that the upstream
 // has accepted. A packet without a context is dropped, see BouncedWithoutContext. So is one
 // whose tag an earlier process gave it and this one has given to a packet of another flow. A
-// bounced question resets the flow, see ask.
-func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) {
+// bounced question resets the flow, see ask. It reports whether that has shown that another start
+// of the upstream runs.
+func (r *Relay) handleBounced(now time.Duration, h segment.Header, packet []byte) (succeeded bool) {
 	c := &r.contexts[h.Tag%contextCount]
 	if c.tag != h.Tag || c.flow != h.Flow || c.kind == 0 && !c.question {
 		r.port.RecordDecision(BouncedWithoutContext, h.Flow, &peer.Frame{Packet: packet})
-		return
+		return false
 	}
 	if c.question {
-		r.handleReturnedQuestion(now, h.Flow)
-		return
+		return r.handleReturnedQuestion(now, h.Flow)
 	}
 	if s := r.flows[h.Flow]; s != nil && (!h.Opens() || s.phase == offered) {
 		r.remove(now, h.Flow, s)
@@ -93,4 +93,5 @@
 	r.codec.SetTag(packet, 0)
 	r.port.RecordDecision(RefusedByUpstream, h.Flow, f)
 	r.forward(f, h)
+	return false
 }
--- a/pkg/relay/cold.go
+++ b/pkg/relay/cold.go
@@ -73,7 +73,12 @@
 }
 
 // isCold reports whether the upstream is in its warm-up or may be.
-func (r *Relay) isCold(now time.Duration) bool { return r.cold.unconfirmed || now < r.cold.until }
+func (r *Relay) isCold(now time.Duration) bool { return r.cold.unconfirmed || now < r.coldUntil(now) }
+
+// coldUntil returns the end of the warm-up that the present start reports, or another one that may run.
+func (r *Relay) coldUntil(now time.Duration) time.Duration {
+	return max(r.cold.until, r.starts.coldUntil(now))
+}
 
 // coldLimited reports whether openings need budget.
 func (r *Relay) coldLimited(now time.Duration) bool {
--- a/pkg/relay/opening.go
+++ b/pkg/relay/opening.go
@@ -112,7 +112,7 @@
 // it, admit treats the opening as if there were no free slot and no room, and lets it wait
 // only if budget returns in time.
 func (r *Relay) admit(now time.Duration, f *peer.Frame) verdict {
-	if f.Service != r.service || !r.acceptsFlows() {
+	if f.Service != r.service || !r.acceptsFlows(now) {
 		return forwardOpening
 	}
 	coldWait := r.coldWait(now)
@@ -194,7 +194,7 @@
 // the upstream accepts no flows any more.
 func (r *Relay) serveWaiting(now time.Duration) {
 	expired := r.waiting.Expired(now)
-	if !r.acceptsFlows() {
+	if !r.acceptsFlows(now) {
 		expired = append(expired, r.waiting.Clear()...)
 	}
 	for _, w := range expired {
--- a/pkg/relay/question.go
+++ b/pkg/relay/question.go
@@ -35,13 +35,19 @@
 }
 
 // askAll asks the upstream for each open flow whether it holds it, as another start than the one
-// that may hold them has sent a heartbeat. why is what the resets of the others rest on.
-func (r *Relay) askAll(why Reset) {
+// that may hold them has sent a heartbeat. why is what the resets of the others rest on. It returns
+// how many of the flows the present start held, see heldByPresent.
+func (r *Relay) askAll(now time.Duration, why Reset) (held int) {
 	for _, flow := range r.sortedFlows() {
 		if s := r.flows[flow]; s.canBeAskedFor() {
+			s.proof = r.heldByPresent(now, s)
+			if s.proof {
+				held++
+			}
 			r.ask(flow, s, why)
 		}
 	}
+	return held
 }
 
 // ask delivers the question of a flow to the upstream. The packet is not one that the caller has
@@ -55,13 +61,15 @@
 }
 
 // handleReturnedQuestion resets a flow that the upstream does not hold. It does nothing if the
-// upstream has sent a packet of the flow since the question, or the flow has been closed.
-func (r *Relay) handleReturnedQuestion(now time.Duration, flow segment.Flow) {
+// upstream has sent a packet of the flow since the question, or the flow has been closed. It
+// reports whether that has shown that another start is the present one.
+func (r *Relay) handleReturnedQuestion(now time.Duration, flow segment.Flow) (succeeded bool) {
 	s := r.flows[flow]
 	if s == nil || s.asked == nil {
-		return
+		return false
 	}
 	r.resetFlow(now, flow, s, *s.asked)
+	return s.proof && r.recordReturned(now, s.asked.Reported)
 }
 
 // endQuestion records that the upstream has sent a packet of a flow that was asked for. Unless the
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -50,21 +50,10 @@
 	// activeWindow is how long after a caller's last packet its flow counts as
 	// load. A flow that its caller has abandoned stays open at the upstream for longer.
 	activeWindow = 4 * time.Second
-	// olderStartSilence is how long the newest start of the upstream must have
-	// sent no heartbeat before a start with an earlier time of day is accepted
-	// as a new one: the instance's clock may have been set back. It exceeds
-	// three heartbeat intervals.
-	olderStartSilence = 3 * time.Second
-	// maxRecentStarts is the number of ended starts of the upstream whose delayed heartbeats
-	// are recognized: those of a minute if the upstream fails every few seconds.
-	maxRecentStarts = 16
 	// lateHeartbeat is how long after its deregistration a heartbeat of the same start of
 	// the upstream is ignored. An agent that was paused may handle the two calls in either
 	// order. An upstream that goes on after all is used again after that time.
 	lateHeartbeat = 3 * time.Second
-	// foreignOverlap is for how long heartbeats of an upstream that has ended may arrive
-	// after its successor has started: they wait in a socket while the agent is paused.
-	foreignOverlap = 3 * time.Second
 	// deregistrationGrace is the time after its deregistration from which an upstream that
 	// does not listen any more has ended. It exits at once; this covers late timers.
 	deregistrationGrace = 150 * time.Millisecond
@@ -101,6 +90,12 @@
 		RecordDecision(event Event, flow segment.Flow, frame *peer.Frame)
 		// RecordReset logs the decision ResetUpstreamEnded.
 		RecordReset(flow segment.Flow, why Reset)
+		// RecordClaim logs a heartbeat of another start than the present one that does not
+		// take its place.
+		RecordClaim(claim Claim)
+		// RecordStart logs that a start has become the present one or that the state of the present
+		// one has changed, with its last heartbeat.
+		RecordStart(u Upstream, start uint32, evidence Succession)
 	}
 
 	// Event is the kind of a decision, and the message of its log line.
@@ -142,12 +137,9 @@
 		// ColdFor is the remaining time of its warm-up, in which it serves
 		// requests slowly.
 		ColdFor time.Duration
-	}
-
-	// recentStarts holds the last identifiers of starts that were added, 0 where there is none.
-	recentStarts struct {
-		ids  [maxRecentStarts]uint32
-		next int // index of the identifier that is replaced next
+		// Refused means that its address has refused a connection just before the heartbeat
+		// was handled, see Vacant: the heartbeat may be a late one.
+		Refused bool
 	}
 
 	// Relay holds the state of one agent.
@@ -157,31 +149,29 @@
 		codec   segment.Codec
 		port    Port
 
-		mu              sync.Mutex
-		flows           map[segment.Flow]*flowState
-		contexts        [contextCount]deliveryContext // ring, by tag
-		lastTag         uint32                        // of the last delivered packet
-		buf             []byte                        // for encoding, reused
-		upstream        Upstream
-		startID         uint32        // peer.StartID of the upstream, 0 if unknown
-		replaced        recentStarts  // starts of the upstream before that one
-		lastHeartbeatAt time.Duration // when the upstream's last heartbeat came
-		evidence        uint64        // number of the last heartbeat that cannot have waited, see freshAfter
-		tickAt          time.Duration // of the last Tick, 0 before the first
-		resumedAt       time.Duration // end of the last pause of the agent, 0 if there was none
-		alive           bool          // the upstream runs, or is assumed to, and has not deregistered
-		ended           bool          // the upstream's process has ended, and with it all its flows
-		deregisteredAt  time.Duration
-		deregistered    bool           // since the last heartbeat
-		evacuated       bool           // the failure domain of the agent gets no new flows
-		openFlows       int            // flows in phase accepted
-		activeFlows     int            // at the last Tick: open flows with a caller's packet within activeWindow
-		load            admission.Load // of the upstream
-		waiting         *admission.Queue[*waitingOpening]
-		detector        outlierDetector
-		answerTimes     answerTimes
-		cold            coldState
-		lifetime        time.Duration // idle time after which an accepted flow is removed
+		mu             sync.Mutex
+		flows          map[segment.Flow]*flowState
+		contexts       [contextCount]deliveryContext // ring, by tag
+		lastTag        uint32                        // of the last delivered packet
+		buf            []byte                        // for encoding, reused
+		starts         starts
+		evidence       uint64        // number of the last heartbeat that cannot have waited, see freshAfter
+		tickAt         time.Duration // of the last Tick, 0 before the first
+		resumedAt      time.Duration // end of the last pause of the agent, 0 if there was none
+		alive          bool          // the upstream runs, or is assumed to, and has not deregistered
+		ended          bool          // the upstream's process has ended, and with it all its flows
+		deregisteredAt time.Duration
+		deregistered   bool           // since the last heartbeat
+		leaving        bool           // deregistered, and no start has gone on reporting since
+		evacuated      bool           // the failure domain of the agent gets no new flows
+		openFlows      int            // flows in phase accepted
+		activeFlows    int            // at the last Tick: open flows with a caller's packet within activeWindow
+		load           admission.Load // of the upstream
+		waiting        *admission.Queue[*waitingOpening]
+		detector       outlierDetector
+		answerTimes    answerTimes
+		cold           coldState
+		lifetime       time.Duration // idle time after which an accepted flow is removed
 	}
 
 	// phase is the state of a flow at the upstream. offered: the upstream has sent
@@ -204,7 +194,8 @@
 		question     []byte             // the caller's last packet that can serve as a question
 		questionAck  uint32             // its acknowledgement number
 		asked        *Reset             // what a reset rests on if the upstream bounces the question; nil if none was sent
-		start        uint32             // Relay.startID when the upstream's first packet came
+		proof        bool               // a bounce of the question shows that the present start has ended
+		start        uint32             // peer.StartID of the present start when the upstream's first packet came
 		lastSequence uint64             // number of the last heartbeat at that time
 		upstreamSeen time.Duration      // when the upstream's last packet came
 		lastSeen     time.Duration      // when the last packet of either end came
@@ -309,6 +300,7 @@
 		waiting:  admission.NewQueue[*waitingOpening](maxWaiting),
 		lifetime: time.Minute,
 		cold:     coldState{unconfirmed: true},
+		starts:   starts{interval: defaultHeartbeatInterval},
 	}
 	for _, o := range options {
 		o(r)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -109,6 +109,10 @@
 
 func (r *harness) RecordReset(_ segment.Flow, why relay.Reset) { r.why = append(r.why, why) }
 
+func (r *harness) RecordClaim(relay.Claim) {}
+
+func (r *harness) RecordStart(relay.Upstream, uint32, relay.Succession) {}
+
 func caller(n int) segment.Flow {
 	return segment.NewFlow(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(n)), vip)
 }
--- a/pkg/relay/table.go
+++ b/pkg/relay/table.go
@@ -116,7 +116,9 @@
 }
 
 // recordStart records the present start of the upstream as the one that holds the flow.
-func (s *flowState) recordStart(r *Relay) { s.start, s.lastSequence = r.startID, r.upstream.Sequence }
+func (s *flowState) recordStart(r *Relay) {
+	s.start, s.lastSequence = r.starts.present.start, r.starts.present.upstream.Sequence
+}
 
 // announce sends an Owned message for the flow to the entry, with what shows that the flow is
 // open at the present start of this upstream. It does nothing if the entry is not known.
@@ -124,13 +126,14 @@
 	if entry == (peer.Addr{}) {
 		return
 	}
-	heartbeat := r.upstream.Sequence
-	if s.start == r.startID {
+	present := &r.starts.present
+	heartbeat := present.upstream.Sequence
+	if s.start == present.start {
 		heartbeat = s.lastSequence
 	}
 	r.buf = peer.OwnerMessage{
-		Kind: peer.Owned, Flow: flow, Start: r.startID, Sequence: s.nextSequence, SequenceKnown: s.nextKnown,
-		Heartbeat: uint32(heartbeat), HeartbeatKnown: r.startID != 0,
+		Kind: peer.Owned, Flow: flow, Start: present.start, Sequence: s.nextSequence, SequenceKnown: s.nextKnown,
+		Heartbeat: uint32(heartbeat), HeartbeatKnown: present.start != 0,
 	}.Append(r.buf[:0])
 	r.port.ToProcess(entry, r.buf)
 }
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -9,48 +9,42 @@
 	"hickoryhook.example/pkg/segment"
 )
 
-// HandleHeartbeat records the state that the upstream reported. A heartbeat that
-// is not newer than the last one of the same start is ignored, unless its sequence
-// is 0, and so is a delayed one of an earlier start or of one that has deregistered, or one
-// of an upstream that already ran while the present one still reported, see delayed and
-// foreign. The first heartbeat of a new start after a known one asks the upstream which flows it
-// holds, see askAll, and puts the upstream on trial.
+// HandleHeartbeat records the state that the upstream reported. A heartbeat that goes on from the
+// last one of the present start does so at once. Any other may be late, or of another writer: it
+// makes its start a candidate, see starts. A heartbeat of a start that has deregistered is
+// one of these for lateHeartbeat, and if the upstream's address refuses connections.
 // HandleHeartbeat reports whether the agent should send its status to other
-// processes at once: if this is the first heartbeat of a start, or since the upstream
-// deregistered or ended, or if draining has begun or ended.
+// processes at once: if another start has become the present one or a candidate, or if the
+// upstream is offered new flows from now on, or no more.
 func (r *Relay) HandleHeartbeat(now time.Duration, u Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	startID := peer.StartID(u.ID, u.Born)
-	same := r.startID == startID
-	switch {
-	case same && u.Sequence <= r.upstream.Sequence && u.Sequence > 0:
-		return false
-	case same && u.Born != 0 && r.deregistered && now-r.deregisteredAt <= lateHeartbeat:
-		return false
-	case !same && (r.delayed(now, u.Born, startID) || r.foreign(now, u)):
-		return false
+	r.notePause(now)
+	start := peer.StartID(u.ID, u.Born)
+	present := &r.starts.present
+	if !r.vacant() && start == present.start && u.Sequence == present.upstream.Sequence {
+		return false // a repeated call
 	}
-	restarted := !same && r.startID != 0
-	why := r.resetReason(now, BouncedByUpstream, startID)
-	if restarted {
-		r.replaced.add(r.startID)
-		r.detector.recordRestart(now)
+	deregistered := r.deregistered && now-r.deregisteredAt <= lateHeartbeat
+	if deregistered || r.ended && u.Refused || !r.starts.continues(now, present, start, u) {
+		return r.handleClaim(now, start, u)
 	}
-	if !same || r.isFresh(now) {
+	return r.recordHeartbeat(now, u)
+}
+
+// recordHeartbeat records a heartbeat of the present start.
+func (r *Relay) recordHeartbeat(now time.Duration, u Upstream) (changed bool) {
+	alive, accepted := r.alive, r.acceptsFlows(now)
+	if r.isFresh(now) {
 		r.evidence = u.Sequence
 	}
-	r.lastHeartbeatAt = now
-	r.recordWarmUp(now, u, restarted)
-	changed := !same || !r.alive || u.Draining != r.upstream.Draining
-	r.upstream, r.startID = u, startID
+	r.starts.report(now, u)
+	r.recordWarmUp(now, u, false)
 	r.load.SetSlots(now, u.Slots)
-	r.alive, r.ended, r.deregistered = true, false, false
-	if restarted {
-		r.askAll(why)
-	}
-	if !same {
-		r.announceAll()
+	r.alive, r.ended, r.deregistered, r.leaving = true, false, false, false
+	changed = !alive || accepted != r.acceptsFlows(now)
+	if changed {
+		r.port.RecordStart(u, r.starts.present.start, reported)
 	}
 	return changed
 }
@@ -80,33 +74,12 @@
 	return gap
 }
 
-// delayed reports whether a heartbeat is of a start before the present one, which still
-// reports: by the time of the start, or, as upstreams need not send it, because the present one
-// or another has replaced that start. If the present one has been silent for
-// olderStartSilence, the heartbeat may be of an upstream that was replaced by mistake.
-func (r *Relay) delayed(now time.Duration, born int64, startID uint32) bool {
-	if r.startID == 0 || now-r.lastHeartbeatAt > olderStartSilence {
-		return false
-	}
-	return born < r.upstream.Born || r.replaced.contains(startID)
-}
-
-// foreign reports whether an upstream other than the present one is not its successor, but
-// reports to a wrong agent: the present one still reports, and has reported more than
-// foreignOverlap after the other one's start. Two upstreams can't run at one address.
-func (r *Relay) foreign(now time.Duration, u Upstream) bool {
-	if r.startID == 0 || !r.alive || u.Age == 0 {
-		return false
-	}
-	return now-r.lastHeartbeatAt <= olderStartSilence && r.lastHeartbeatAt > now-u.Age+foreignOverlap
-}
-
 // LastHeartbeat returns the id and the number in the last heartbeat that was not ignored, an empty
 // id if there was none.
 func (r *Relay) LastHeartbeat() (id string, sequence uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upstream.ID, r.upstream.Sequence
+	return r.starts.present.upstream.ID, r.starts.present.upstream.Sequence
 }
 
 // HandleDeregistration records that the upstream with the id is about to stop. It
@@ -116,19 +89,21 @@
 func (r *Relay) HandleDeregistration(now time.Duration, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.startID != 0 && id != r.upstream.ID {
+	if r.starts.present.start != 0 && id != r.starts.present.upstream.ID {
+		r.starts.leave(id)
 		return
 	}
 	r.alive = false
-	r.deregistered, r.deregisteredAt = true, now
+	r.deregistered, r.leaving, r.deregisteredAt = true, true, now
 }
 
 // Leaving reports whether the upstream has deregistered and should have exited by now, so that the
-// agent should probe whether a process still listens at its address.
+// agent should probe whether a process still listens at its address. A heartbeat since is no proof
+// that one does, until another follows.
 func (r *Relay) Leaving(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.deregistered && !r.ended && now-r.deregisteredAt >= deregistrationGrace
+	return r.leaving && !r.ended && now-r.deregisteredAt >= deregistrationGrace
 }
 
 // MarkEnded records that the upstream's process has ended, and resets its flows. It is to be
@@ -139,7 +114,7 @@
 func (r *Relay) MarkEnded(now, probed time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.startID != 0 && r.lastHeartbeatAt > probed {
+	if r.starts.lastHeardAt() > probed {
 		return false
 	}
 	r.resetFlows(now, r.resetReason(now, ConnectionRefused, 0), func(s *flowState) bool { return s.upstreamSeen <= probed })
@@ -148,6 +123,7 @@
 	}
 	changed := !r.ended
 	r.alive, r.ended = false, true
+	r.starts.endAll()
 	return changed
 }
 
@@ -156,9 +132,9 @@
 func (r *Relay) AssumeReady(slots int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.startID == 0 && !r.deregistered {
+	if r.starts.present.start == 0 && !r.deregistered {
 		r.alive = true
-		r.upstream.Slots = slots
+		r.starts.present.upstream.Slots = slots
 	}
 }
 
@@ -180,7 +156,9 @@
 
 // acceptsFlows reports whether the upstream runs, is not draining and is not in an
 // evacuated failure domain.
-func (r *Relay) acceptsFlows() bool { return r.alive && !r.upstream.Draining && !r.evacuated }
+func (r *Relay) acceptsFlows(now time.Duration) bool {
+	return r.alive && !r.starts.mayDrain(now) && !r.evacuated
+}
 
 // Tick removes flows without packets: accepted ones after the lifetime, the others
 // after closedRetention at the latest. It stops counting requests without an
@@ -205,6 +183,7 @@
 			r.remove(now, flow, s)
 		}
 	}
+	r.checkSuccession(now)
 	r.serveWaiting(now)
 	return paused
 }
@@ -232,15 +211,17 @@
 func (r *Relay) Status(now time.Duration) peer.Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	present := &r.starts.present
 	return peer.Status{
-		Upstream:    r.upstream.ID,
-		Born:        r.upstream.Born,
+		Upstream:    present.upstream.ID,
+		Born:        present.upstream.Born,
+		Candidate:   r.starts.doubted(),
 		Heartbeat:   r.evidence,
-		Taking:      r.acceptsFlows(),
+		Taking:      r.acceptsFlows(now),
 		Empty:       r.ended,
 		Failing:     r.detector.isEjected(now),
-		Slots:       r.upstream.Slots,
-		ColdFor:     max(0, r.cold.until-now).Milliseconds(),
+		Slots:       present.upstream.Slots,
+		ColdFor:     max(0, r.coldUntil(now)-now).Milliseconds(),
 		Flows:       r.activeFlows,
 		Running:     r.load.Running(),
 		ServiceTime: r.load.ServiceTime().Microseconds(),
@@ -249,9 +230,10 @@
 
 // resetReason returns what a reset of the flows of the upstream's last start rests on.
 func (r *Relay) resetReason(now time.Duration, p Proof, reported uint32) Reset {
-	why := Reset{Proof: p, Start: r.startID, Reported: reported}
-	if r.startID != 0 {
-		why.Age = max(0, now-r.lastHeartbeatAt) // calls that are handled at once may be overtaken
+	present := &r.starts.present
+	why := Reset{Proof: p, Start: present.start, Reported: reported}
+	if present.start != 0 {
+		why.Age = max(0, now-present.lastAt) // calls that are handled at once may be overtaken
 	}
 	return why
 }
@@ -302,12 +284,3 @@
 	defer r.mu.Unlock()
 	return len(r.flows), r.openFlows
 }
-
-// add adds the identifier of a start in the place of the oldest one.
-func (s *recentStarts) add(id uint32) {
-	s.ids[s.next] = id
-	s.next = (s.next + 1) % len(s.ids)
-}
-
-// contains reports whether the identifier is among the last ones that were added.
-func (s *recentStarts) contains(id uint32) bool { return slices.Contains(s.ids[:], id) }
