Agent: a late first heartbeat with number 0 is not the newest one of its start

Cause: a heartbeat that is not newer than the last one of its start was ignored "unless its sequence is 0". No upstream needs that: each heartbeat has a number, which increases with each call.

Change: the exemption is gone. A start whose numbers begin anew is another series, as any that does not go on from the last one.

Evidence: pkg/relay/testdata/draining.txt failed before, and 18 cases of TestOddHeartbeatsChangeNothing with the new line "same start, 0".

--- a/pkg/relay/starts.go
+++ b/pkg/relay/starts.go
@@ -110,12 +110,9 @@
 
 // continues reports whether a heartbeat goes on from the last one of the series.
 func (s *starts) continues(now time.Duration, c *series, start uint32, u Upstream) bool {
-	if c.start != start || u.Sequence <= c.upstream.Sequence && u.Sequence > 0 {
+	if c.start != start || u.Sequence <= c.upstream.Sequence {
 		return false
 	}
-	if u.Sequence == 0 {
-		return true
-	}
 	limit := sequenceSlack + sequencesPerInterval*max(0, now-c.lastAt)/s.interval
 	return u.Sequence-c.upstream.Sequence <= uint64(limit)
 }
