Entry: reset restored flows only if the agent is certain of another start

Cause: of a restored flow whose caller has sent nothing, an entry has no packet to ask the upstream with, and trusted the agent's report of another start, which rested on one heartbeat.

Change: reports say whether the start is certain to run, and only then a restored flow is reset on the report. Reports of earlier builds count as certain, as they did.

Price: if the agent, the entries and then the upstream restart, idle callers learn the end of their flows after two heartbeat intervals more.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -216,8 +216,8 @@
 // starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
 	isNew, restarted, doubted := d.members.update(now, from, status)
-	if start, known := d.members.upstreamStart(from); restarted && known {
-		d.checkOtherStarts(now, from, start, true)
+	if start, known, certain := d.members.upstreamStart(from); restarted && known {
+		d.checkOtherStarts(now, from, start, certain)
 	}
 	if doubted {
 		d.checkOtherStarts(now, from, status.Candidate, false)
--- a/pkg/director/members.go
+++ b/pkg/director/members.go
@@ -141,9 +141,9 @@
 	}
 	// The agent knows no upstream, as after its own restart: the last known start is kept.
 	if status.Upstream == "" && old.Service == status.Service {
-		status.Upstream, status.Born = old.Upstream, old.Born
+		status.Upstream, status.Born, status.Unconfirmed = old.Upstream, old.Born, old.Unconfirmed
 	}
-	restarted = old.Upstream != status.Upstream || old.Born != status.Born || status.Empty && !old.Empty
+	restarted = old.Upstream != status.Upstream || old.Born != status.Born || status.Empty && !old.Empty || old.Unconfirmed && !status.Unconfirmed
 	a.status, a.reportedAt, a.pending, a.leaving = status, now, 0, false
 	service := peer.Service(status.Service)
 	if a.service != service {
@@ -369,20 +369,20 @@
 
 // upstreamStart returns the identifier of the start of an agent's upstream that runs, 0
 // if the agent has reported that none runs. known is false if the agent or its upstream's
-// start is unknown.
-func (m *members) upstreamStart(address peer.Addr) (start uint32, known bool) {
+// start is unknown, certain is false if the report does not show that other starts have ended.
+func (m *members) upstreamStart(address peer.Addr) (start uint32, known, certain bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	a, ok := m.agents[address]
 	switch {
 	case !ok:
-		return 0, false
+		return 0, false, false
 	case a.status.Empty:
-		return 0, true
+		return 0, true, true
 	case a.status.Upstream == "":
-		return 0, false
+		return 0, false, false
 	}
-	return peer.StartID(a.status.Upstream, a.status.Born), true
+	return peer.StartID(a.status.Upstream, a.status.Born), true, !a.status.Unconfirmed
 }
 
 // lastHeard returns the last heartbeat that each agent has reported.
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -497,3 +497,36 @@
 	s.returns(t, 2100*time.Millisecond, s.owner, acknowledgement(upstreamSequence), false)
 	is.Equal(s.port.resets, 1)
 }
+
+// TestUnconfirmedStartResetsNoRestoredFlow guards against the reset of restored flows that are held: an
+// agent that was restarted, too, has handled a late heartbeat of an ended start first. The flows are reset
+// once another start is confirmed, and not if the reports name theirs again.
+func TestUnconfirmedStartResetsNoRestoredFlow(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []peer.Status // after the restart of the agent
+		want    int           // resets
+	}{
+		{"late heartbeat", []peer.Status{{Upstream: "u", Born: 4, Unconfirmed: true}, {Upstream: "u", Born: 5, Unconfirmed: true}, {Upstream: "u", Born: 5}}, 0},
+		{"next start", []peer.Status{{Upstream: "u", Born: 6, Unconfirmed: true}, {Upstream: "u", Born: 6}}, 1},
+		{"next start, unknown for a time", []peer.Status{{Upstream: "u", Born: 6, Unconfirmed: true}, {}, {Upstream: "u", Born: 6}}, 1},
+		{"next start of an earlier build", []peer.Status{{Upstream: "u", Born: 6}}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newAskSite(t)
+			restored := segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+			saved := []director.FlowSnapshot{{Flow: restored, Owner: s.owner, Start: peer.StartID("u", 5), Acknowledged: 9, Proven: true}}
+			s.RestoreFlows(time.Second, saved)
+			for n, status := range c.reports {
+				status.Incarnation, status.Sequence, status.Service, status.Taking, status.Slots = 2000, uint64(1+n), "maklerlink", true, 2
+				s.HandleReport(2*time.Second, s.owner, status)
+				s.RestoreFlows(2*time.Second, nil) // checks the flows against the same report
+				if n < len(c.reports)-1 {
+					is.Equal(s.port.resets, 0)
+				}
+			}
+			is.Equal(s.port.resets, c.want)
+		})
+	}
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -25,6 +25,9 @@
 		// relay.Upstream; 0 if unknown. A number above that of an OwnerMessage shows that
 		// the start of the message has sent a heartbeat after the flow was opened.
 		Heartbeat uint64 `cbor:"15,keyasint,omitempty"`
+		// Unconfirmed means that the start was reported by heartbeats which may be late ones: they
+		// do not show that other starts have ended. Builds up to d18ec3b do not send it.
+		Unconfirmed bool `cbor:"16,keyasint,omitempty"`
 		// Candidate is the StartID of another start that may have replaced this one, 0 if there is
 		// none. The upstream can be asked which flows it holds.
 		Candidate uint32 `cbor:"17,keyasint,omitempty"`
--- a/pkg/relay/starts_test.go
+++ b/pkg/relay/starts_test.go
@@ -180,7 +180,7 @@
 	if l.known && l.cold && s.Cold() < 50*time.Second {
 		t.Fatalf("cold for %v, the upstream said more: %+v", s.Cold(), s)
 	}
-	if l.settled && (s.Upstream != livingID || s.Born != l.born(livingBorn) || s.Slots != livingSlots || s.Taking == l.draining) {
+	if l.settled && (s.Upstream != livingID || s.Born != l.born(livingBorn) || s.Slots != livingSlots || s.Taking == l.draining || s.Unconfirmed) {
 		t.Fatalf("not the living upstream's state: %+v", s)
 	}
 }
@@ -343,3 +343,26 @@
 	l.send(t, "heartbeat u-9 2", func() {})
 	is.True(!l.relay.Leaving(l.now)) // it runs
 }
+
+// TestLateHeartbeatAfterRestartIsUnconfirmed guards against resets of restored flows by entries: an agent
+// that was restarted gets a late heartbeat of an ended start first, and reports that start.
+func TestLateHeartbeatAfterRestartIsUnconfirmed(t *testing.T) {
+	for _, claim := range []string{"heartbeat u-1 8 born 1000", "heartbeat u-1 8 born 1000; wait 400; heartbeat u-1 9 born 1000; wait 400; heartbeat u-1 10 born 1000"} {
+		for _, withBorn := range []bool{false, true} {
+			is := is.New(t)
+			l := &living{harness: &harness{}, withBorn: withBorn, sequence: firstSequence - 1}
+			l.prepare(t, "reports 5 agent-restarted")
+			check := func() {
+				s := l.relay.Status(l.now)
+				is.True(s.Upstream != "u-1" || s.Unconfirmed)
+			}
+			for message := range strings.SplitSeq(claim, ";") {
+				l.send(t, message, check)
+			}
+			l.pass(6*startsInterval, check)
+			s := l.relay.Status(l.now)
+			is.Equal(s.Upstream, livingID)
+			is.True(!s.Unconfirmed)
+		}
+	}
+}
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -215,6 +215,7 @@
 	return peer.Status{
 		Upstream:    present.upstream.ID,
 		Born:        present.upstream.Born,
+		Unconfirmed: present.start != 0 && !r.starts.certain,
 		Candidate:   r.starts.doubted(),
 		Heartbeat:   r.evidence,
 		Taking:      r.acceptsFlows(now),
