Entry: tell agents the rates of cold upstreams when a configuration comes into force

Cause: an agent learns the rate from hello messages. The reply to its first report came from entries without a configuration, and the next one was due 2 s later.

Change: an entry sends a hello message to the agents that it knows when a configuration with other rates comes into force. One with the same rates is not announced.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -44,6 +44,7 @@
 	overloaded  atomic.Bool
 	lastPacket  atomic.Int64 // now() at the last packet of a caller
 	agentHellos *agentHellos
+	coldRates   coldRates // that the agents were told last
 	lastTick    time.Duration
 
 	discovery discovery // used by discoverProcesses only
@@ -79,7 +80,7 @@
 		directorOptions = append(directorOptions, director.WithLink(e.link))
 	}
 	e.director = director.New(p.self, p.codec, e, directorOptions...)
-	e.config = newConfigSync(p, e.director, e.sendHelloToAlive, e.announceEvacuation)
+	e.config = newConfigSync(p, e.director, e.announceConfig, e.announceEvacuation)
 	e.flowCollector = newFlowCollector(p)
 	p.onNewEra = e.config.handleNewEra
 	return e, nil
