Agent: close three gaps of candidates, found by reading the change

A late heartbeat of the present start ended the candidacy of the next one, and with it the limit of that one's warm-up, until its next heartbeat. The limit holds until the candidate is silent now.

A start that was draining and had deregistered kept openings from its next start until that one was certain, two intervals, if that one reported before the agent had found that nothing listens. A start that has deregistered limits nothing now.

An upstream that numbers its heartbeats in steps of more than 24 would have counted as another writer at each of them. No upstream does, but the protocol only says that the numbers increase. Steps are learned from a start that goes on reporting.

--- a/pkg/relay/starts.go
+++ b/pkg/relay/starts.go
@@ -39,7 +39,8 @@
 	// while the present one is not certain.
 	otherStartRetention = 10 * time.Second
 	// sequenceSlack and sequencesPerInterval bound how far the numbers of successive heartbeats
-	// are apart: an upstream numbers each call, also those that fail and are repeated.
+	// are apart: an upstream numbers each call, also those that fail and are repeated. It may
+	// number them in larger steps, see starts.step.
 	sequenceSlack        = 16
 	sequencesPerInterval = 8
 	// foreignOverlap is for how long heartbeats of an upstream that has ended may arrive
@@ -70,9 +71,12 @@
 		lastAt   time.Duration
 		// claimedAt is the time of its first heartbeat since the last one of the present start.
 		claimedAt time.Duration
+		// step is the difference between the numbers of its last two heartbeats.
+		step uint64
 		// late means that the last heartbeat cannot be one of the next start.
 		late bool
-		// replaced means that it was the present start, ended that its process has ended.
+		// replaced means that it was the present start, ended that its process has ended or that
+		// it has deregistered.
 		replaced, ended bool
 		// questioned means that the upstream was asked for the flows of the present start, as
 		// this one may have replaced it. proofs counts the questions that prove so, if the
@@ -96,6 +100,7 @@
 	// starts holds the starts of the upstream that were heard.
 	starts struct {
 		interval time.Duration // between heartbeats
+		step     uint64        // largest step of a start that has become the present one by going on
 		present  series
 		certain  bool     // the present start is known to run, by more than heartbeats that may be late
 		others   []series // at most one of each start
@@ -108,13 +113,15 @@
 // silence returns the time without a heartbeat after which a start counts as silent.
 func (s *starts) silence() time.Duration { return time.Duration(silentIntervals * float64(s.interval)) }
 
-// continues reports whether a heartbeat goes on from the last one of the series.
-func (s *starts) continues(now time.Duration, c *series, start uint32, u Upstream) bool {
+// continues reports whether a heartbeat goes on from the last one of the present start.
+func (s *starts) continues(now time.Duration, start uint32, u Upstream) bool {
+	c := &s.present
 	if c.start != start || u.Sequence <= c.upstream.Sequence {
 		return false
 	}
-	limit := sequenceSlack + sequencesPerInterval*max(0, now-c.lastAt)/s.interval
-	return u.Sequence-c.upstream.Sequence <= uint64(limit)
+	passed := uint64(max(0, now-c.lastAt) / s.interval)
+	limit := sequenceSlack + sequencesPerInterval*passed + 2*s.step*(1+passed)
+	return u.Sequence-c.upstream.Sequence <= limit
 }
 
 // confirmed reports whether a candidate has gone on reporting since the present start's last
@@ -141,12 +148,14 @@
 			slices.SortFunc(s.others, func(a, b series) int { return cmp.Compare(a.lastAt, b.lastAt) })
 			s.others = slices.Delete(s.others, 0, 1)
 		}
-		s.others = append(s.others, series{start: start, firstAt: now, claimedAt: now})
+		s.others = append(s.others, series{start: start, upstream: u})
 		n = len(s.others) - 1
 	}
 	c := &s.others[n]
-	if !s.continues(now, c, start, u) {
-		c.firstAt, c.claimedAt = now, now
+	if u.Sequence > c.upstream.Sequence {
+		c.step = u.Sequence - c.upstream.Sequence
+	} else {
+		c.firstAt, c.claimedAt, c.step = now, now, 0
 	}
 	if c.ended || c.lastAt < s.present.lastAt {
 		c.claimedAt, c.questioned = now, false
@@ -197,7 +206,11 @@
 	next := *c
 	s.others = slices.DeleteFunc(s.others, func(o series) bool { return o.start == next.start })
 	next.replaced, next.late, next.questioned, next.ended = false, false, false, false
-	if s.present.start != 0 && s.present.start != next.start {
+	switch s.present.start {
+	case 0:
+	case next.start:
+		s.step = max(s.step, next.step)
+	default:
 		s.present.replaced = true
 		s.others = append(s.others, s.present)
 	}
@@ -217,13 +230,14 @@
 	s.others = slices.DeleteFunc(s.others, func(o series) bool { return o.upstream.ID == id })
 }
 
-// mayLimit reports whether what another start has reported may hold for the upstream: that of a
-// candidate or, until the present start is certain to run, that of any.
+// mayLimit reports whether what another start has reported may hold for the upstream: that of one that
+// may have replaced the present one, which may have sent a late heartbeat since, or, until the present
+// start is certain to run, that of any.
 func (s *starts) mayLimit(now time.Duration, o *series) bool {
 	if !s.certain {
 		return !o.ended && now-o.lastAt <= otherStartRetention
 	}
-	return !o.ended && !o.late && o.lastAt >= s.present.lastAt
+	return !o.ended && !o.late && now-o.lastAt <= s.silence()
 }
 
 // mayDrain reports whether the upstream may be draining: by the present start's report or, until that
--- a/pkg/relay/starts_test.go
+++ b/pkg/relay/starts_test.go
@@ -366,3 +366,51 @@
 		}
 	}
 }
+
+// TestLargeStepsAreLearned guards against an upstream whose heartbeats all seem to be another writer's, as
+// it numbers them in large steps.
+func TestLargeStepsAreLearned(t *testing.T) {
+	is := is.New(t)
+	l := &living{harness: &harness{}}
+	l.start()
+	l.advance(time.Second)
+	for n := uint64(1); n <= 8; n++ {
+		l.relay.HandleHeartbeat(l.now, relay.Upstream{ID: livingID, Sequence: 5000 * n, Slots: 2, Draining: n == 8})
+		status := l.relay.Status(l.now)
+		is.Equal(status.Taking, n < 8)
+		is.True(n < 4 || status.Heartbeat == 5000*n)
+		l.advance(startsInterval)
+	}
+}
+
+// TestNextStartIsColdDespiteLateHeartbeat guards against too many openings at a cold upstream: after its
+// first heartbeat, a late one of the start before it arrives.
+func TestNextStartIsColdDespiteLateHeartbeat(t *testing.T) {
+	is := is.New(t)
+	l := &living{harness: &harness{}, sequence: firstSequence - 1}
+	l.prepare(t, "reports 5")
+	for n := 1; n <= 6; n++ {
+		l.send(t, fmt.Sprintf("heartbeat u-3 %d cold 60000", n), func() {})
+		for step := range 10 {
+			l.advance(tickInterval)
+			if n <= 2 && step == 4 {
+				l.report()
+			}
+			status := l.relay.Status(l.now)
+			is.True(status.Cold() > 50*time.Second)
+		}
+	}
+	is.Equal(l.relay.Status(l.now).Upstream, "u-3")
+}
+
+// TestQuickReturnAfterDeregistrationIsUsed guards against an upstream that gets no openings after a planned
+// restart: its next start reports before the agent has found that the one that drained has exited.
+func TestQuickReturnAfterDeregistrationIsUsed(t *testing.T) {
+	is := is.New(t)
+	l := &living{harness: &harness{}, sequence: firstSequence - 1}
+	l.prepare(t, "reports 5 draining")
+	l.relay.HandleDeregistration(l.now, livingID)
+	l.advance(tickInterval)
+	l.send(t, "heartbeat u-3 1", func() {})
+	is.True(l.relay.Status(l.now).Taking)
+}
--- a/pkg/relay/upstream.go
+++ b/pkg/relay/upstream.go
@@ -26,7 +26,7 @@
 		return false // a repeated call
 	}
 	deregistered := r.deregistered && now-r.deregisteredAt <= lateHeartbeat
-	if deregistered || r.ended && u.Refused || !r.starts.continues(now, present, start, u) {
+	if deregistered || r.ended && u.Refused || !r.starts.continues(now, start, u) {
 		return r.handleClaim(now, start, u)
 	}
 	return r.recordHeartbeat(now, u)
@@ -95,6 +95,7 @@
 	}
 	r.alive = false
 	r.deregistered, r.leaving, r.deregisteredAt = true, true, now
+	r.starts.present.ended = true
 }
 
 // Leaving reports whether the upstream has deregistered and should have exited by now, so that the
