Entry: reset restored flows at once after a loss of power, although no start is certain yet

Cause: restored flows are reset only if another start is certain. After a loss of power none is for two heartbeat intervals, as agents have just started and their upstreams listen already.

Change: a packet of a restored flow that its owner returns proves that the flow is gone if the owner has reported another start, certain or not: its upstream does not hold it. A start is certain if the agent's probe was refused before it, also if it is the first one that the agent hears. It becomes certain after 1.4 intervals, not at its third heartbeat. And if more than half of the agents of restored flows, three at least, report other starts at the same time, these count as certain: late heartbeats do not come first at most agents at once.

TestLateMessagesOfEndedStarts compares with the status after a tick, when its start is certain.

--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -218,6 +218,7 @@
 	isNew, restarted, doubted := d.members.update(now, from, status)
 	if start, known, certain := d.members.upstreamStart(from); restarted && known {
 		d.checkOtherStarts(now, from, start, certain)
+		d.checkRestartedTogether(now)
 	}
 	if doubted {
 		d.checkOtherStarts(now, from, status.Candidate, false)
@@ -251,7 +252,10 @@
 			case rec.owner != owner || start != 0 && rec.startID == start:
 			case rec.mayAsk():
 				d.ask(now, s, flow, rec, start)
-			case certain && rec.startProven && rec.lastSeen == rec.created:
+			case !rec.startProven || rec.lastSeen > rec.created:
+			case !certain:
+				rec.expectReturn(now, start)
+			default:
 				proof := OtherStart
 				if start == 0 {
 					proof = NoUpstreamRuns
@@ -262,6 +266,14 @@
 	})
 }
 
+// checkRestartedTogether resets the restored flows of agents whose upstreams have restarted together.
+func (d *Director) checkRestartedTogether(now time.Duration) {
+	for _, agent := range d.restored.restartedTogether(d.members) {
+		start, _, _ := d.members.upstreamStart(agent)
+		d.checkOtherStarts(now, agent, start, true)
+	}
+}
+
 // Tick removes the flows whose idle timeout and idleSlack, or whose lifetime, have
 // passed without a packet, closed flows after closedRetention, and agents without a
 // report for evictAfter. since is the time since the last tick: a long one shows that
--- a/pkg/director/director.go
+++ b/pkg/director/director.go
@@ -258,6 +258,7 @@
 		verified   atomic.Pointer[verification] // the last one against the store; nil if none
 		confirmed  atomic.Int64                 // time of the last one by a call of this entry, in ns; 0 if none
 		members    *members
+		restored   restoredStarts
 		history    history
 		absences   absences
 		queryLimit tokenBucket
--- a/pkg/director/question.go
+++ b/pkg/director/question.go
@@ -91,6 +91,12 @@
 	d.sendQuestion(now, s, flow, rec)
 }
 
+// expectReturn records that a packet of the flow which its owner returns proves that the flow is gone, as
+// the owner has reported the given start of its upstream, although there is no packet to ask with.
+func (r *flowRecord) expectReturn(now time.Duration, reported uint32) {
+	r.question.asked = &inquiry{at: now, reported: reported, sent: maxQuestions}
+}
+
 // sendQuestion sends the question about a flow to its owner if the rate limit allows it.
 func (d *Director) sendQuestion(now time.Duration, s *shard, flow segment.Flow, rec *flowRecord) {
 	if !d.questionLimit.take(now, float64(len(rec.question.packet)+questionOverhead), questionBytesPerSecond, questionBurst) {
--- a/pkg/director/question_test.go
+++ b/pkg/director/question_test.go
@@ -530,3 +530,46 @@
 		})
 	}
 }
+
+// TestReturnedPacketOfRestoredFlowIsNotSearched guards against a storm of searches after a loss of power:
+// the start that the agent reports is not certain yet, but its upstream returns a packet of a flow that was
+// restored.
+func TestReturnedPacketOfRestoredFlowIsNotSearched(t *testing.T) {
+	is := is.New(t)
+	s := newAskSite(t)
+	s.flow = segment.NewFlow(netipPort(vipAt(1), 7), vipAt(2))
+	s.RestoreFlows(time.Second, []director.FlowSnapshot{{Flow: s.flow, Owner: s.owner, Start: peer.StartID("u", 5), Acknowledged: upstreamSequence, Proven: true}})
+	s.HandleReport(2*time.Second, s.owner, peer.Status{Incarnation: 2000, Sequence: 1, Service: "maklerlink", Upstream: "u", Born: 6, Unconfirmed: true})
+	s.caller(t, 2100*time.Millisecond, request(upstreamSequence, 50))
+	s.port.frames = nil
+	s.returns(t, 2110*time.Millisecond, s.owner, request(upstreamSequence, 50), false)
+	is.Equal(s.port.resets, 1)
+	is.Equal(len(s.port.frames), 0)
+}
+
+// TestRestoredFlowsAfterLossOfPower guards against callers that wait to learn that their flows are gone: all
+// agents report another start at once, none of which is certain yet. Fewer may have got late heartbeats.
+func TestRestoredFlowsAfterLossOfPower(t *testing.T) {
+	for _, c := range []struct{ agents, restarted, want int }{{4, 2, 0}, {4, 3, 3}, {4, 4, 4}, {2, 2, 0}, {6, 3, 0}, {6, 4, 4}} {
+		is := is.New(t)
+		port := &framePort{}
+		d := director.New(peer.Addr{10, 0, 0, 1}, platform.PacketCodec{}, port)
+		var saved []director.FlowSnapshot
+		agents := make([]peer.Addr, c.agents)
+		for n := range agents {
+			agents[n] = peer.Addr{10, 0, 1, byte(n)}
+			saved = append(saved, director.FlowSnapshot{
+				Flow: segment.NewFlow(netipPort(vipAt(1), uint16(n+1)), vipAt(2)), Owner: agents[n], Start: peer.StartID("u", 5), Acknowledged: 9, Proven: true,
+			})
+		}
+		d.RestoreFlows(time.Second, saved)
+		for n, agent := range agents {
+			status := peer.Status{Incarnation: 1, Sequence: 1, Service: "maklerlink", Upstream: "u", Born: 5, Unconfirmed: true}
+			if n < c.restarted {
+				status.Born = 6
+			}
+			d.HandleReport(2*time.Second, agent, status)
+		}
+		is.Equal(port.resets, c.want)
+	}
+}
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -144,6 +144,7 @@
 			d.checkOtherStarts(now, a, start, certain)
 		}
 	}
+	d.checkRestartedTogether(now)
 }
 
 // restoreFlow adds a flow to the cache, or replaces one that was restored.
@@ -154,6 +155,9 @@
 		return
 	}
 	proven := r.Proven && r.Acknowledged != 0 && r.Start != 0
+	if proven {
+		d.restored.add(r.Owner, r.Start)
+	}
 	s.flows[r.Flow] = &flowRecord{
 		owner: r.Owner, service: r.Service, startID: r.Start, open: true, acknowledged: r.Acknowledged, lastSeen: now, created: now,
 		restored: true, evidence: evidence{confirmed: proven, startProven: proven},
--- a/pkg/relay/lifetimes_test.go
+++ b/pkg/relay/lifetimes_test.go
@@ -80,6 +80,7 @@
 				r.open(t, 1, 1)
 				is.NoErr(r.fromUpstream(encode(caller(1), true, segment.Open|segment.Ack, 1000, 2, 0)))
 				r.take()
+				r.relay.Tick(r.now)
 				want := statusWithoutFlows(r)
 				for i, m := range append(order, order...) { // each message comes twice
 					if m.deregister {
--- a/pkg/relay/starts.go
+++ b/pkg/relay/starts.go
@@ -127,16 +127,28 @@
 // confirmed reports whether a candidate has gone on reporting since the present start's last
 // heartbeat.
 func (s *starts) confirmed(c *series) bool {
-	return c.lastAt-c.claimedAt >= time.Duration(confirmIntervals*float64(s.interval))
+	return c.lastAt-c.claimedAt >= s.spacing()
 }
 
-// report adds a heartbeat that goes on from the present start's last one. The start is certain to run
-// from now on if it has reported for longer than another one that runs could have been silent.
+// report adds a heartbeat that goes on from the present start's last one.
 func (s *starts) report(now time.Duration, u Upstream) {
 	s.present.upstream, s.present.lastAt, s.present.ended = u, now, false
-	s.certain = s.certain || now-s.present.firstAt >= s.silence() && !slices.ContainsFunc(s.others, func(o series) bool {
-		return now-o.lastAt <= s.silence()
-	})
+}
+
+// checkCertain makes the present start certain to run if it has gone on reporting for as long as another
+// one that runs could have been silent, and none has reported. quietSince is when the agent began to
+// hear heartbeats without a pause.
+func (s *starts) checkCertain(now, quietSince time.Duration) {
+	p := &s.present
+	if s.certain || p.start == 0 || now-max(p.firstAt, quietSince) < s.silence() || p.lastAt-p.firstAt < s.spacing() || now-p.lastAt > s.silence() {
+		return
+	}
+	s.certain = !slices.ContainsFunc(s.others, func(o series) bool { return now-o.lastAt <= s.silence() })
+}
+
+// spacing returns the least time between two heartbeats that show that their start goes on reporting.
+func (s *starts) spacing() time.Duration {
+	return time.Duration(confirmIntervals * float64(s.interval))
 }
 
 // claim adds a heartbeat that does not go on from the present start's last one to the series of its
@@ -349,7 +361,7 @@
 	present := &r.starts.present
 	restarted := present.start != 0 && c.start != present.start
 	r.question(now, c)
-	r.starts.replacePresent(c, evidence == presentReturned || evidence == presentGone && r.ended)
+	r.starts.replacePresent(c, evidence == presentReturned || r.ended)
 	r.port.RecordStart(present.upstream, present.start, evidence)
 	if restarted {
 		r.detector.recordRestart(now)
@@ -363,6 +375,7 @@
 
 // checkSuccession makes a candidate the present start if that one is silent or has ended.
 func (r *Relay) checkSuccession(now time.Duration) {
+	r.starts.checkCertain(now, r.resumedAt)
 	if c := r.starts.candidate(); c != nil {
 		if evidence := r.evidenceFor(now, c); evidence != "" {
 			r.succeed(now, c, evidence)
