Soak: odd heartbeats and long drains

With -odd-heartbeats, agents get heartbeats that their upstreams have not sent: of unknown and earlier starts, with other numbers, incomplete ones, some in a row, and deregistrations of starts that do not run. Meanwhile upstreams drain for 3 to 6 s and start again. The soak fails if an upstream takes an opening later than 3 s after its draining was acknowledged, by an agent and an entry that were not disturbed for 4 s.

--- a/internal/fleetdemo/config_judge.go
+++ b/internal/fleetdemo/config_judge.go
@@ -24,11 +24,12 @@
 	maxConfigFailures = 20
 )
 
-// storeMachine and anyUpstream stand for the store and for the upstreams of a site in the
-// disturbances of a configJudge.
+// storeMachine, anyUpstream and soakMachine stand for the store, for the upstreams of a site and for the
+// soak itself in the disturbances of a configJudge.
 var (
 	storeMachine = netip.AddrFrom4([4]byte{0, 0, 0, 1})
 	anyUpstream  = netip.AddrFrom4([4]byte{0, 0, 0, 2})
+	soakMachine  = netip.AddrFrom4([4]byte{0, 0, 0, 3})
 )
 
 type (
@@ -132,6 +133,13 @@
 	j.machine(a).effects = nil
 }
 
+// calm is isCalm for callers that do not hold the lock.
+func (j *configJudge) calm(at time.Time, machines ...netip.Addr) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.isCalm(at, machines...)
+}
+
 // isCalm reports whether machines were without disturbance for stableWindow before a time and
 // since. The caller holds the lock.
 func (j *configJudge) isCalm(at time.Time, machines ...netip.Addr) bool {
--- a/internal/fleetdemo/flaps.go
+++ b/internal/fleetdemo/flaps.go
@@ -133,12 +133,11 @@
 	u.starts++
 	u.id = fmt.Sprintf("%s-%d", u.name, u.starts)
 	u.down, u.draining, u.heartbeats, u.silent = false, false, 0, time.Now().Add(silent)
+	u.drainAcked, u.born = time.Time{}, time.Now().UnixMilli()
 	u.starting = !u.site.lateHeartbeats
 	u.mu.Unlock()
 	time.Sleep(silent)
-	if id, body, due := u.nextHeartbeat(); due {
-		u.callAgent(http.MethodPut, id, body)
-	}
+	u.reportToAgent()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starting = false
--- a/internal/fleetdemo/run.go
+++ b/internal/fleetdemo/run.go
@@ -60,6 +60,9 @@
 		// OpenedWhileEvacuated counts the flows that upstreams of an evacuated failure
 		// domain accepted after the bound.
 		OpenedWhileEvacuated int `json:"opened-while-evacuated"`
+		// OpenedWhileDraining counts the flows that upstreams accepted later than drainBound after
+		// the acknowledgement of their draining.
+		OpenedWhileDraining int `json:"opened-while-draining"`
 		// Repeated counts the times that an upstream ran a request that had run before. Callers
 		// send each request on one flow only.
 		Repeated int `json:"repeated"`
@@ -222,7 +225,7 @@
 	}
 	r.taskErrors = nil
 	report := r.callers.report()
-	report.OpenedWhileEvacuated = r.site.openedWhileEvacuated()
+	report.OpenedWhileEvacuated, report.OpenedWhileDraining = r.site.openedWhileEvacuated(), r.site.openedWhileDraining()
 	report.StoreCalls, report.Repeated = r.site.store.Calls(), r.site.requests.repeatedRuns()
 	return report, err
 }
--- a/internal/fleetdemo/site.go
+++ b/internal/fleetdemo/site.go
@@ -108,6 +108,7 @@
 
 		requests  requestLog
 		openings  openings
+		drains    drains
 		incidents incidents
 	}
 
--- a/internal/fleetdemo/soak.go
+++ b/internal/fleetdemo/soak.go
@@ -64,6 +64,10 @@
 		// LateHeartbeats makes the first heartbeat of some of these starts late, and lets flows
 		// open before the first heartbeat of each.
 		LateHeartbeats bool
+		// OddHeartbeats sends agents heartbeats that their upstreams have not sent, and
+		// deregistrations of starts that do not run, while upstreams drain for longer than
+		// drainBound.
+		OddHeartbeats bool
 		// HTMLReport receives a report as an HTML page, unless it is nil or the run
 		// ends early with an error.
 		HTMLReport io.Writer
@@ -97,9 +101,9 @@
 // while callers keep their flows open: it stops, pauses, reloads and kills the
 // processes, crashes upstreams or makes them reset their flows, and injects faults
 // into the store and into the connections to it. It returns an error if a flow was
-// reset while its upstream was running, if one was opened in an evacuated failure domain, if an
-// opening was handled by an older configuration than configJudge allows, if a
-// request ran more than once, or if requests were lost after the settle time: then it also prints
+// reset while its upstream was running, if one was opened in an evacuated failure domain or at an
+// upstream that had been draining for too long, if an opening was handled by an older configuration
+// than configJudge allows, if a request ran more than once, or if requests were lost after the settle time: then it also prints
 // what the logs tell of the first of these flows. With any error, the logs of the processes stay
 // in the directory that the error names.
 func Soak(ctx context.Context, c SoakConfig) (report Report, err error) {
@@ -128,7 +132,10 @@
 	s.startProcess = func(role string, settings *platform.Settings) (func() error, error) {
 		return k.startChild(dir, c.Program, role, settings)
 	}
-	k.timeline.onPause = func() { s.judge.disturb(storeMachine, time.Now()) }
+	k.timeline.onPause = func() {
+		s.judge.disturb(storeMachine, time.Now())
+		s.judge.disturb(soakMachine, time.Now())
+	}
 	defer k.cleanUp()
 	if err := k.start(ctx); err != nil {
 		return Report{}, err
@@ -162,9 +169,9 @@
 		k.site.incidents.add(o)
 		failure = errors.Join(failure, errors.Errorf("seed %d: %s", c.Seed, o.text))
 	}
-	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.Repeated > 0 || lost > 0 {
-		failure = errors.Join(failure, errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d requests ran more than once, %d requests lost after the settle time%s",
-			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n")))
+	if report.Broken > 0 || report.OpenedWhileEvacuated > 0 || report.OpenedWhileDraining > 0 || report.Repeated > 0 || lost > 0 {
+		failure = errors.Join(failure, errors.Errorf("seed %d: %d flows reset while their upstream was running, %d opened in an evacuated failure domain, %d opened at a draining upstream, %d requests ran more than once, %d requests lost after the settle time%s",
+			c.Seed, report.Broken, report.OpenedWhileEvacuated, report.OpenedWhileDraining, report.Repeated, lost, strings.Join(append([]string{""}, report.BrokenFlows...), "\n")))
 	}
 	if failure != nil {
 		failure = errors.Join(failure, writeEvidence(c.Out, dir, k.site.incidents.first(), k.timeline.faults()))
@@ -190,6 +197,10 @@
 	if c.Flaps {
 		k.startFlaps(&running, c, end)
 	}
+	if c.OddHeartbeats {
+		running.Go(func() { k.sendOddUntil(end, rand.New(rand.NewPCG(c.Seed, 6))) })
+		running.Go(func() { k.drainUntil(end, rand.New(rand.NewPCG(c.Seed, 7))) })
+	}
 	for time.Now().Before(end) {
 		name, f := k.randomFault()
 		k.announceFault(name)
--- a/internal/fleetdemo/upstream.go
+++ b/internal/fleetdemo/upstream.go
@@ -45,6 +45,7 @@
 		born       int64     // start time in Unix milliseconds
 		heartbeats int       // since that start
 		draining   bool      // accepts flows and ends each with its next response
+		drainAcked time.Time // when its agent acknowledged that; zero before
 		down       bool      // ended: neither answers packets nor sends heartbeats
 		starting   bool      // takes no packets yet
 		silent     time.Time // until then it sends no heartbeats
@@ -175,9 +176,7 @@
 // once when draining or a new start begins, until the context ends.
 func (u *upstream) sendHeartbeats(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if id, body, due := u.nextHeartbeat(); due {
-			u.callAgent(http.MethodPut, id, body)
-		}
+		u.reportToAgent()
 		select {
 		case <-ctx.Done():
 		case <-u.wake:
@@ -246,7 +245,7 @@
 	// An overlapping crash may have ended before this one, and the upstream may
 	// have accepted flows since. This restart drops them as well.
 	u.flows = make(map[segment.Flow]*heldFlow)
-	u.down, u.born, u.heartbeats = false, time.Now().UnixMilli(), 0
+	u.down, u.born, u.heartbeats, u.drainAcked = false, time.Now().UnixMilli(), 0, time.Time{}
 }
 
 // fail makes the upstream reset each of its flows at the next request, for the
@@ -272,21 +271,35 @@
 }
 
 // callAgent sends an HTTP request to the agent's path for a start of the upstream: PUT for a
-// heartbeat, DELETE to deregister it.
-func (u *upstream) callAgent(method, id, body string) {
+// heartbeat, DELETE to deregister it. It reports whether the agent has acknowledged it.
+func (u *upstream) callAgent(method, id, body string) (acknowledged bool) {
 	req, err := http.NewRequest(method, "http://"+u.settings.ControlAddress.String()+"/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		u.site.log.Error("request to the agent not created", zap.Error(err))
-		return
+		return false
 	}
 	client := &http.Client{Timeout: u.settings.HeartbeatInterval}
 	resp, err := client.Do(req)
 	if err != nil {
-		return // the agent may be restarting; the next heartbeat repeats the state
+		return false // the agent may be restarting; the next heartbeat repeats the state
 	}
 	if err := resp.Body.Close(); err != nil {
 		u.site.log.Error("response of the agent not closed", zap.Error(err))
 	}
+	return resp.StatusCode == http.StatusOK
+}
+
+// reportToAgent sends the upstream's heartbeat if one is due.
+func (u *upstream) reportToAgent() {
+	id, body, due := u.nextHeartbeat()
+	if !due || !u.callAgent(http.MethodPut, id, body) || !strings.Contains(body, `"draining"`) {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.id == id && u.draining && u.drainAcked.IsZero() {
+		u.drainAcked = time.Now()
+	}
 }
 
 // serve handles packets until the socket is closed.
@@ -330,6 +343,7 @@
 		f.nextSeq = f.isn + 1
 		u.flows[h.Flow] = f
 		u.site.checkOpening(u.settings.FailureDomain)
+		u.site.judgeDraining(h, u.id, u.settings.Address, u.drainAcked)
 		u.site.judgeOpening(h, u.settings.Service, u.settings.Address)
 		fallthrough
 	case h.Opens():
--- a/internal/verb/platform_soak.go
+++ b/internal/verb/platform_soak.go
@@ -20,7 +20,8 @@
 for the store fails, and a proxy delays the connections to it, resets them, or
 stalls one or both directions. Exit code 1 if a flow was reset although its
 upstream was alive, if one was opened in an evacuated failure domain later than
-5 s after the request, if an opening was handled by a configuration that is older than
+5 s after the request, or at an upstream later than 3 s after its draining was
+acknowledged, if an opening was handled by a configuration that is older than
 the one that the store had acknowledged 3 s before, or older than one that its entry has
 had in force, if a request ran more than once, or if requests are lost
 after the last fault has settled; then the logs of the processes are kept, and what
@@ -40,6 +41,9 @@
                  restart of their upstream; callers pause between requests
   -late-heartbeats  with -flaps, upstreams accept flows before the first heartbeat of a
                  start, which comes late at times
+  -odd-heartbeats  agents get heartbeats that their upstreams have not sent: of unknown or
+                 earlier starts, with other numbers, or with fields missing; meanwhile
+                 upstreams drain for more than 3 s and start again
   -callers N     flows that are kept open (default 40)
   -entries N     entries (default 3)
   -upstreams N   upstreams, each with an agent (default 4)
@@ -62,6 +66,7 @@
 	routes        int
 	flaps         bool
 	late          bool
+	odd           bool
 	callers       int
 	network       int
 	entries       int
@@ -80,6 +85,7 @@
 	flags.IntVar(&r.routes, "routes", 0, "")
 	flags.BoolVar(&r.flaps, "flaps", false, "")
 	flags.BoolVar(&r.late, "late-heartbeats", false, "")
+	flags.BoolVar(&r.odd, "odd-heartbeats", false, "")
 	flags.IntVar(&r.callers, "callers", 40, "")
 	flags.IntVar(&r.network, "network", 92, "")
 	flags.IntVar(&r.entries, "entries", 3, "")
@@ -128,13 +134,14 @@
 		Config: fleetdemo.Config{
 			Seed: r.seed, Network: byte(r.network), Callers: r.callers, Entries: r.entries, Upstreams: r.upstreams, Out: r.streams.stdout, Log: log,
 		},
-		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, Routes: r.routes, Flaps: r.flaps, LateHeartbeats: r.late,
+		Program: program, Duration: r.duration, StoreRestores: r.storeRestores, Evacuations: r.evacuations, Moves: r.moves, Routes: r.routes, Flaps: r.flaps, LateHeartbeats: r.late, OddHeartbeats: r.odd,
 		HTMLReport: page,
 	})
 	return errors.Join(err, printTable(r.streams.stdout, []row{
 		{"requests", report.Requests}, {"answered", report.Answered}, {"lost", report.Lost},
 		{"flows reset", report.Resets}, {"of them with a living upstream", report.Broken},
 		{"requests that ran again", report.Repeated}, {"flows opened in an evacuated domain", report.OpenedWhileEvacuated},
+		{"flows opened at a draining upstream", report.OpenedWhileDraining},
 		{"openings judged by their configuration", report.Judged}, {"of them by one that is too old", report.Outdated},
 	}))
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,7 +5,8 @@
 // The upstream is the authority on which flows it holds; the relay's flow table
 // is a cache. After a restart of the agent the table is empty, so packets of
 // unknown flows are offered to the upstream, which returns those of flows that
-// it does not hold.
+// it does not hold. Heartbeats may come from ended starts of the upstream and from
+// other writers: type starts decides which start is the present one.
 //
 // # Usage
 //
