--- a/pkg/director/answers.go
+++ b/pkg/director/answers.go
@@ -211,9 +211,9 @@
 }
 
 // HandleReport records an agent's status unless it is outdated. If the agent is new, or
-// its upstream may have restarted or ended or may have been replaced by a candidate, it checks the cached flows that are not known to be
-// of the upstream's last known start, see checkOtherStarts; if no upstream runs, those of all
-// starts. It reports whether the agent is new.
+// its upstream may have restarted or ended or may have been replaced by a candidate, it checks
+// the cached flows that are not known to be of the upstream's last known start, see
+// checkOtherStarts; if no upstream runs, those of all starts. It reports whether the agent is new.
 func (d *Director) HandleReport(now time.Duration, from peer.Addr, status peer.Status) bool {
 	isNew, restarted, doubted := d.members.update(now, from, status)
 	if start, known, certain := d.members.upstreamStart(from); restarted && known {
--- a/pkg/director/snapshot.go
+++ b/pkg/director/snapshot.go
@@ -133,8 +133,8 @@
 // RestoreFlows adds flows that an earlier process stored to the cache, except those that are in
 // use. A flow that was restored before and had no packet since is replaced. A
 // proven flow is reset, see checkOtherStarts, as soon as its agent has reported another start of
-// its upstream that is certain to run, or no known start and no running upstream, unless its caller has sent a packet
-// that the agent can be asked with.
+// its upstream that is certain to run, or no known start and no running upstream, unless its
+// caller has sent a packet that the agent can be asked with.
 func (d *Director) RestoreFlows(now time.Duration, flows []FlowSnapshot) {
 	for _, r := range flows {
 		d.restoreFlow(now, r)
