--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -304,6 +304,7 @@
 	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000, "seq": 4})), http.StatusOK)
 	p.started = p.started.Add(-2 * time.Second) // time passes
 	is.Equal(heartbeat(a, "i-1", heartbeatBody(map[string]any{"born": 1000})), http.StatusOK)
+	a.tick()
 	last := a.lastHeartbeat.Load()
 	born := time.Now().Add(-30 * time.Second).UnixMilli()
 	body := heartbeatBody(map[string]any{"slots": 7, "state": "draining", "born": born})
