--- a/pkg/director/restored_starts.go
+++ b/pkg/director/restored_starts.go
@@ -7,6 +7,10 @@
 	"hickoryhook.example/pkg/peer"
 )
 
+// minRestartedTogether is the least number of agents that show a loss of power together, see
+// restoredStarts.
+const minRestartedTogether = 3
+
 type (
 	// startReport is a start of an upstream that its agent has reported, 0 if none runs.
 	startReport struct {
@@ -16,20 +20,16 @@
 
 	// startReports are the reports by agent.
 	startReports map[peer.Addr]startReport
-)
-
-// minRestartedTogether is the least number of agents that show a loss of power together, see
-// restoredStarts.
-const minRestartedTogether = 3
 
-// restoredStarts holds the starts of upstreams that restored flows name, by agent. After a loss of power,
-// all agents report other starts at once. None is certain yet: each may rest on a late heartbeat of an
-// ended start. But late heartbeats do not come first at most of the agents at the same time.
-type restoredStarts struct {
-	mu      sync.Mutex
-	byAgent map[peer.Addr][]uint32
-	checked map[peer.Addr]uint32 // starts that takeRestartedTogether has returned
-}
+	// restoredStarts holds the starts of upstreams that restored flows name, by agent. After a loss of power,
+	// all agents report other starts at once. None is certain yet: each may rest on a late heartbeat of an
+	// ended start. But late heartbeats do not come first at most of the agents at the same time.
+	restoredStarts struct {
+		mu      sync.Mutex
+		byAgent map[peer.Addr][]uint32
+		checked map[peer.Addr]uint32 // starts that takeRestartedTogether has returned
+	}
+)
 
 // add records the start that a restored flow names.
 func (r *restoredStarts) add(agent peer.Addr, start uint32) {
