Review: flows saved while a start is not certain are reset after planned restarts

Cause: heartbeats of an ended start that are the first ones a restarted agent hears count as evidence that flows are open at that start. An entry saves these flows with it, and resets them after its own restart.

--- a/review/rig3/endpoint.go
+++ b/review/rig3/endpoint.go
@@ -28,6 +28,7 @@
 		mu    sync.Mutex
 		flows map[flowKey]*held
 		seq   int
+		due   time.Time // of the last ping
 	}
 
 	// held is a flow at an endpoint.
@@ -55,7 +56,7 @@
 	}
 	e := &endpoint{
 		site: s, service: service, id: fmt.Sprintf("i-%08x", rand.Uint32()), host: h, work: 20 * time.Millisecond, conn: conn, health: l,
-		done: make(chan struct{}), onRun: onRun, flows: map[flowKey]*held{},
+		done: make(chan struct{}), onRun: onRun, flows: map[flowKey]*held{}, due: time.Now(),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) })
@@ -91,15 +92,35 @@
 		req.Header.Set("Content-Type", "application/json")
 		if resp, err := client.Do(req); err == nil {
 			resp.Body.Close()
+		} else if e.site.logPings {
+			e.site.rec.line("ping %d of %s: no ack", e.seq, e.id)
 		}
 		select {
 		case <-e.done:
 			return
-		case <-time.After(heartbeat):
+		case <-time.After(time.Until(e.nextPing())):
 		}
 	}
 }
 
+// nextPing returns when the next ping is due: pings keep their interval from the first one on.
+func (e *endpoint) nextPing() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.due = e.due.Add(heartbeat); time.Until(e.due) < 0; {
+		e.due = e.due.Add(heartbeat)
+	}
+	return e.due
+}
+
+// holds reports whether the endpoint holds an open flow.
+func (e *endpoint) holds(k flowKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.flows[k]
+	return f != nil && f.open
+}
+
 func (e *endpoint) send(k flowKey, flags byte, seq, ackNo uint32, data []byte) {
 	b := encode(header{src: k.vip, dst: k.caller, flags: flags, seq: seq, ack: ackNo}, data)
 	_, _ = e.conn.WriteToUDPAddrPort(b, e.site.at(e.host, portOutbound))
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -15,6 +15,7 @@
 	"service-name": serviceName,
 	"hangup":       hangup,
 	"strays":       strays,
+	"late-pings":   latePings,
 }
 
 func main() {
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -19,11 +19,13 @@
 )
 
 const (
-	zoneName  = "graz-nord"
-	heartbeat = 770 * time.Millisecond
-	slots     = 2
+	zoneName = "graz-nord"
+	slots    = 2
 )
 
+// heartbeat is the interval of the endpoints' pings, by the site.
+var heartbeat = 770 * time.Millisecond
+
 // The ports of each host, as offsets from the site's first port.
 const (
 	portInternal = iota
@@ -49,6 +51,8 @@
 		storeAt string
 		rec     *record
 		visits  *visits // nil unless a case needs it
+		// logPings records pings without an ack.
+		logPings bool
 
 		mu        sync.Mutex
 		procs     []*proc
