Review: the stand-ins check that their ports are free

Cause: the ports of a site were drawn at random without a check.

Change: a site takes a network and a block of ports that are free, with that of the metrics.

--- a/review/rig3/latepings.go
+++ b/review/rig3/latepings.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -16,7 +17,7 @@
 	const service, endpoints, flowCount = "huvo11a", 4, 90
 	heartbeat = 1200 * time.Millisecond
 	s.logPings = true
-	s.setConfig(7, map[vipT]string{bookings: service}, service)
+	s.setConfig(7, map[netip.AddrPort]string{bookings: service}, service)
 	// The first lifetime of the endpoint on host 101 begins behind a partition, which holds up its pings.
 	// It crashes there, and the partition ends.
 	begin := time.Now()
@@ -28,7 +29,7 @@
 	var agents, entries []*proc
 	var held []*endpoint
 	for n := byte(101); n <= 100+endpoints; n++ {
-		e, err := s.startEndpoint(n, service, func(*endpoint, vipT, string) {})
+		e, err := s.startEndpoint(n, service, func(*endpoint, netip.AddrPort, string) {})
 		if err != nil {
 			return "", err
 		}
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -21,6 +21,8 @@
 const (
 	zoneName = "graz-nord"
 	slots    = 2
+	// metricsPort is that of the deploy file.
+	metricsPort = 9402
 )
 
 // heartbeat is the interval of the endpoints' pings, by the site.
@@ -38,8 +40,6 @@
 	portCount
 )
 
-type vipT = netip.AddrPort
-
 type (
 	// site is one small deployment on loopback addresses.
 	site struct {
@@ -96,15 +96,17 @@
 	fmt.Fprintf(r.f, "%8.3f "+format+"\n", append([]any{time.Since(r.begin).Seconds()}, args...)...)
 }
 
-// newSite starts the store on free ports of a loopback network.
+// newSite starts the store on a loopback network and a block of ports that are free.
 func newSite(program, dir string, rec *record) (*site, error) {
 	for range 50 {
-		s := &site{program: program, dir: dir, net: byte(20 + rand.IntN(220)), store: newStore(), rec: rec}
+		s := &site{program: program, dir: dir, net: byte(20 + rand.IntN(220)), store: newStore(), rec: rec, port: 20000 + rand.IntN(8000)}
+		if !s.free() {
+			continue
+		}
 		l, err := net.Listen("tcp4", s.host(251).String()+":0")
 		if err != nil {
 			continue
 		}
-		s.port = 20000 + rand.IntN(8000)
 		s.storeAt = l.Addr().String()
 		go func() { _ = http.Serve(l, s.store) }()
 		s.ctx, s.stop = context.WithCancel(context.Background())
@@ -113,6 +115,28 @@
 	return nil, errors.New("no free loopback network")
 }
 
+// free reports whether the ports of the site and that of the metrics are free on its network.
+func (s *site) free() bool {
+	ports := []int{metricsPort}
+	for offset := range portCount {
+		ports = append(ports, s.port+offset)
+	}
+	for _, port := range ports {
+		at := fmt.Sprintf("%s:%d", s.host(1), port)
+		l, err := net.Listen("tcp4", at)
+		if err != nil {
+			return false
+		}
+		l.Close()
+		c, err := net.ListenPacket("udp4", at)
+		if err != nil {
+			return false
+		}
+		c.Close()
+	}
+	return true
+}
+
 func (s *site) host(n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 77, s.net, n}) }
 
 func (s *site) at(h netip.Addr, offset int) netip.AddrPort {
--- a/review/rig3/strays.go
+++ b/review/rig3/strays.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -70,10 +71,10 @@
 // strays: an entry and an agent are restarted at the same time, the agent twice.
 func strays(s *site, trouble bool) (string, error) {
 	const service = "huvo11a"
-	s.setConfig(7, map[vipT]string{bookings: service}, service)
+	s.setConfig(7, map[netip.AddrPort]string{bookings: service}, service)
 	v := &visits{at: map[flowKey][]visit{}, open: map[flowKey]string{}, ended: map[flowKey]time.Time{}}
 	s.visits = v
-	onRun := func(*endpoint, vipT, string) {}
+	onRun := func(*endpoint, netip.AddrPort, string) {}
 	var agents, entries []*proc
 	for n := byte(101); n <= 106; n++ {
 		if _, err := s.startEndpoint(n, service, onRun); err != nil {
