--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 var cases = map[string]func(*site, bool) (string, error){
@@ -27,6 +29,9 @@
 }
 
 func run() int {
+	// Processes are started with the default action of SIGHUP, also if this one was started with SIGHUP
+	// ignored, as by nohup.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	dir, err := os.MkdirTemp("", "rig3-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
